Fetch shared prompt pieces from the store and save them there

A fetch is 200 times cheaper than a read by the site's prices. Ruled out: affinity by the first piece (all requests share it). A dead store is noticed by a waiting call.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -125,7 +125,7 @@
             return
         }
         val address = HostAndPort.parse(target.entry.address) ?: return giveUp(progress.noTarget())
-        val attempt = Send(target, model, minimum)
+        val attempt = Send(target, model)
         send = attempt
         target.inFlight++
         instance.connections.acquire(target.id, address) { channel -> attempt.connected(channel) }
@@ -135,7 +135,6 @@
         val now = instance.clock.now()
         log.sendFailed(request, target.id, failure, reason)
         outcomeOf(failure)?.let { target.health.record(it, now) }
-        if (failure == SendFailure.NOT_RUN_OTHER_TARGET) otherTarget(target)
         if (ended) return
         val next = progress.failed(target.id, failure, now)
         val mayResume = !begun || grant.route.repeatability == Repeatability.RESUMABLE
@@ -146,14 +145,6 @@
         }
     }
 
-    private fun otherTarget(target: Target) {
-        val model = request.prompt?.model
-        val newest = model?.let { state.weights.newest(it) }
-        if (model != null && newest != null) return
-        state.directory.misnamed(target.id)
-        instance.connections.drop(target.id)
-    }
-
     private fun outcomeOf(failure: SendFailure): SendOutcome? = when (failure) {
         SendFailure.UNREACHABLE -> SendOutcome.UNREACHABLE
         SendFailure.NOT_RUN_FULL -> SendOutcome.FULL
@@ -218,7 +209,7 @@
     }
 
     /** One send of the request. */
-    private inner class Send(val target: Target, private val model: ModelName?, private val minimumWeights: Long?) : TargetAnswerListener {
+    private inner class Send(val target: Target, private val model: ModelName?) : TargetAnswerListener {
         private var channel: Channel? = null
         private var answer: TargetAnswerHead? = null
         private var response: HttpResponse? = null
@@ -252,7 +243,6 @@
 
         private fun write(connection: Channel) {
             val now = instance.clock.now()
-            val isolated = grant.workspace?.takeIf { it.isIsolated }?.name?.text
             val message = TargetSend(
                 caller = head,
                 request = request,
@@ -260,8 +250,7 @@
                 target = target.entry,
                 bodyBytes = body.size,
                 remaining = request.deadline?.minus(now)?.coerceAtMost(progress.deadline - now),
-                cacheScope = isolated,
-                expectedWeights = minimumWeights?.let { model?.let(target::weights) },
+                cache = request.prompt?.let { prompt -> state.gate.configuration?.let { state.cache.plan(it, grant, prompt, target) } },
                 lastEventId = lastEventId,
             )
             connection.write(instance.targetProtocol.request(message))
@@ -369,6 +358,7 @@
                 else -> null
             }
             if (failure == SendFailure.FAILED && !begun) return ownFailure(whole, head, body)
+            if (failure == SendFailure.NOT_RUN_OTHER_TARGET) learnName(head)
             if (failure != null || begun) {
                 body.release()
                 return failed(target, failure ?: SendFailure.BROKEN, "status ${head.status}")
@@ -377,6 +367,17 @@
             deliver(whole, head, body)
         }
 
+        /** Another target has the address, or the target has newer weights than were known. */
+        private fun learnName(head: TargetAnswerHead) {
+            val newer = head.weights ?: model?.let { state.weights.newest(it)?.version }
+            if (model != null && newer != null && (head.target == null || head.target == target.id.text)) {
+                target.sawWeights(model, newer)
+            } else {
+                state.directory.misnamed(target.id)
+                instance.connections.drop(target.id)
+            }
+        }
+
         /** Passes a target's own failure on, unless another target may try. */
         private fun ownFailure(whole: HttpResponse, head: TargetAnswerHead, body: ByteBuf) {
             val now = instance.clock.now()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -92,6 +92,7 @@
     private val peers = PeerDatagrams(address(settings.listen.peers)) { digest -> loop.execute { digests.heard(digest) } }
     private val digests: DigestExchange =
         DigestExchange(context, self, rollout, operations, registry, { driver.wake() }, peers::send)
+    private val cacheStores = CacheStoreWatch(context, ports.control)
     private val channels = mutableListOf<Channel>()
     private var stoppingSince: MonotonicTime? = null
     private val stopped = CompletableFuture<Unit>()
@@ -222,6 +223,7 @@
             return when (change) {
                 is OperatorChange.Configuration -> state.configure(change.configuration, now).also { applied ->
                     log.belief("configuration", "version" to change.configuration.version, "applied" to applied, "offset" to offset)
+                    cacheStores.update()
                     updateReadiness()
                 }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import org.cactuspulley.core.forwarding.CachePlan
 import org.cactuspulley.core.forwarding.ForwardedRequest
 import org.cactuspulley.core.forwarding.ForwardingGrant
 import org.cactuspulley.core.forwarding.ForwardingRefusal
@@ -52,8 +53,7 @@
  *
  * @property caller the caller's own message, whose other headers pass.
  * @property remaining the time that the target has; null for no limit.
- * @property cacheScope the salt of the request's cached pieces; null for requests without a prompt.
- * @property expectedWeights the version of the weights on which the request must begin; null for any.
+ * @property cache where the request's cached pieces are; null for requests without a prompt.
  * @property lastEventId the last event that the caller has.
  */
 public data class TargetSend(
@@ -63,8 +63,7 @@
     val target: TargetEntry,
     val bodyBytes: Int,
     val remaining: Duration?,
-    val cacheScope: String?,
-    val expectedWeights: Long?,
+    val cache: CachePlan?,
     val lastEventId: Long?,
 )
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -1,6 +1,7 @@
 package org.cactuspulley.runtime.forwarding
 
 import org.cactuspulley.core.forwarding.AllowanceShape
+import org.cactuspulley.core.forwarding.CachePlanner
 import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.FleetView
 import org.cactuspulley.core.forwarding.ForwardingConfiguration
@@ -23,6 +24,7 @@
     val directory = TargetDirectory()
     val choice = TargetChoice(directory, self.zone)
     val fleet = FleetView(self)
+    val cache = CachePlanner()
     val crashes = CrashRegister()
     val weights = NamedWeightsRegister()
     private val allowances = HashMap<WorkspaceId, TokenAllowance>()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
@@ -97,6 +97,9 @@
 
 /** Calls of a target that are no requests of callers. */
 public interface TargetControl {
+    /** Waits a while for news of the store of cached pieces at [address]; whether it answered. */
+    public fun awaitCacheStore(address: String, done: (Boolean) -> Unit)
+
     /** Asks [target] for its report; null if there is none. */
     public fun report(target: TargetEntry, done: (TargetReport?) -> Unit)
 
