Spread prompts by work, empty targets before they load, judge rates by window

Now: choice by the work of all instances, told in digests; half of a pool is emptied at a time, then loads while the last runs go on; silence counts only while the target answers nobody; rates by sliding window. Left: spacing-ask late, shared parts read again.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
@@ -11,13 +11,14 @@
  *
  * @property excluded targets that this request has already been sent to.
  * @property minimumWeights the oldest version of the model's weights on which the request may begin; null for any.
+ * @property preferredWeights the version on which it should begin where targets with it have room; null for any.
  */
 public data class ChoiceRequest(
     val grant: ForwardingGrant,
     val prompt: PromptDescription?,
     val excluded: Set<TargetId>,
     val minimumWeights: Long?,
-    val newestWeights: Long?,
+    val preferredWeights: Long?,
 )
 
 /**
@@ -39,8 +40,7 @@
         val sound = able.filterNot { it.health.isExcluded(now) }.ifEmpty { return null }
         val prompt = request.prompt ?: return leastLoaded(sound, now)
         val still = sound.filterNot { isLoading(it, now) }.ifEmpty { sound }
-        val current = request.newestWeights?.let { newest -> still.filter { (it.weights(prompt.model) ?: 0) >= newest } }.orEmpty()
-        return byAffinity(current.ifEmpty { still }, prompt, now)
+        return byAffinity(still, prompt, request.preferredWeights, now)
     }
 
     private fun isAble(target: Target, request: ChoiceRequest): Boolean {
@@ -52,29 +52,25 @@
 
     private fun isLoading(target: Target, now: MonotonicTime): Boolean = target.loadingUntil?.let { now < it } ?: false
 
-    private fun byAffinity(candidates: List<Target>, prompt: PromptDescription, now: MonotonicTime): Target {
-        val affinity = prompt.affinity ?: return leastLoaded(candidates, now)
-        val ranked = candidates.sortedByDescending { rendezvousWeight(affinity.toString(), it.id.text) }
-        val bound = BOUND_BASE + BOUND_FACTOR * candidates.sumOf { requestsAt(it, now) } / candidates.size
-        return ranked.firstOrNull { requestsAt(it, now) <= bound } ?: leastLoaded(candidates, now)
+    private fun byAffinity(candidates: List<Target>, prompt: PromptDescription, preferred: Long?, now: MonotonicTime): Target {
+        val affinity = prompt.affinity ?: return candidates.minBy { it.load.total(now) }
+        val loads = candidates.associateWith { it.load.total(now) }
+        val bound = BOUND_BASE + BOUND_FACTOR * loads.values.sum() / candidates.size
+        val ranked = candidates.sortedByDescending { rendezvousWeight(affinity.toString(), it.id.text) }.filter { loads.getValue(it) <= bound }
+        val current = ranked.firstOrNull { preferred == null || (it.weights(prompt.model) ?: 0) >= preferred }
+        return current ?: ranked.firstOrNull() ?: candidates.minBy { loads.getValue(it) }
     }
 
     private fun leastLoaded(candidates: List<Target>, now: MonotonicTime): Target = candidates.minBy { target ->
         val distance = if (target.entry.zone == zone) 0.0 else OTHER_ZONE_LOAD
-        loadFraction(target, now) + distance + random.nextDouble(TIE_BREAK_LOAD)
-    }
-
-    private fun loadFraction(target: Target, now: MonotonicTime): Double =
-        requestsAt(target, now).toDouble() / target.entry.slots.coerceAtLeast(1)
-
-    private fun requestsAt(target: Target, now: MonotonicTime): Int {
-        val told = target.health.load(now) ?: return target.inFlight
-        return maxOf(target.inFlight, told.running + told.waiting)
+        val told = target.health.load(now)
+        val requests = maxOf(target.load.total(now), (told?.run { running + waiting } ?: 0).toDouble())
+        requests / target.entry.slots.coerceAtLeast(1) + distance + random.nextDouble(TIE_BREAK_LOAD)
     }
 
     private companion object {
-        /** How many requests beyond the mean a target may have before the next one is taken: an eighth of an engine's slots. */
-        const val BOUND_BASE = 8.0
+        /** Units beyond the mean that a target may have: 6,000 tokens are read in 150 ms, a third of an objective. */
+        const val BOUND_BASE = 6.0
 
         /** The part of the mean load that a target may have; 1.25 keeps keys in place while load is even (bounded-load hashing). */
         const val BOUND_FACTOR = 1.25
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -118,8 +118,11 @@
     /** What outcomes of requests say about the target. */
     public val health: TargetHealth = TargetHealth()
 
-    /** Requests of this instance that the target has not answered. */
-    public var inFlight: Int = 0
+    /** The work that instances have at the target. */
+    public val load: TargetLoad = TargetLoad()
+
+    /** When anything last arrived from the target. */
+    public var lastSign: MonotonicTime? = null
 
     /** Until when the target takes new weights, as far as known; requests go elsewhere meanwhile. */
     public var loadingUntil: MonotonicTime? = null
--- /dev/null
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetLoad.kt
@@ -0,0 +1,56 @@
+package org.cactuspulley.core.forwarding
+
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.MonotonicTime
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The work that all instances have at one target, in units of [UNIT]: a request of a plain service is one
+ * unit; a prompt counts its own thousands of tokens until its first event, and a part of a unit after that.
+ */
+public class TargetLoad {
+    private class PeerLoad(val units: Double, val heardAt: MonotonicTime)
+
+    private val peers = HashMap<InstanceId, PeerLoad>()
+
+    /** The work of this instance. */
+    public var own: Double = 0.0
+        private set
+
+    /** Adds [units] of this instance's work; negative ones take it away. */
+    public fun add(units: Double) {
+        own = (own + units).coerceAtLeast(0.0)
+    }
+
+    /** Takes note of a peer's work. */
+    public fun heard(peer: InstanceId, units: Double, now: MonotonicTime) {
+        peers[peer] = PeerLoad(units, now)
+    }
+
+    /** The work of all instances. */
+    public fun total(now: MonotonicTime): Double {
+        if (peers.isNotEmpty()) peers.values.removeIf { now - it.heardAt > LIFETIME }
+        return own + peers.values.sumOf { it.units }
+    }
+
+    /** Units of work. */
+    public companion object {
+        private const val UNIT = 1_000.0
+
+        /** A running stream slows the others by a few hundredths of a step each; prompts of its server wait for it no longer than that. */
+        public const val RUNNING_STREAM: Double = 0.15
+
+        /** A peer's work that was told two digests ago has mostly ended. */
+        private val LIFETIME = 900.milliseconds
+
+        /** The work until the first event of a request with [prompt]; its shared pieces are mostly cached or fetched. */
+        public fun until(prompt: PromptDescription?): Double {
+            if (prompt == null) return 1.0
+            val own = prompt.pieces.lastOrNull()?.tokens ?: prompt.promptTokens
+            return (own + (prompt.promptTokens - own) * SHARED_SHARE) / UNIT
+        }
+
+        /** Fetching a shared piece takes about a seventh of the time that reading it takes. */
+        private const val SHARED_SHARE = 0.15
+    }
+}
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -9,6 +9,7 @@
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.earliest
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -45,7 +46,16 @@
 }
 
 /** What a target says about its weights and orders. */
-public data class TargetReport(val versions: Map<ModelName, Long>, val isBusy: Boolean, val ordersAccepted: Long)
+public data class TargetReport(val versions: Map<ModelName, Long>, val isBusy: Boolean, val ordersAccepted: Long, val running: Int, val waiting: Int)
+
+/** What becomes of the runs of a target that takes new weights. */
+public enum class RunsDuringLoad {
+    /** They finish first. */
+    FINISH,
+
+    /** They go on with the new weights; what they make from then on is worth nothing. */
+    GO_ON,
+}
 
 /** How a target answered an order. */
 public enum class OrderAnswer { ACCEPTED, ALREADY_HOLDS, CONFLICT, FENCED, REJECTED, OTHER_TARGET, UNANSWERED }
@@ -64,6 +74,7 @@
         val weights: NamedWeights,
         val fence: Long,
         val ordersAccepted: Long,
+        val runs: RunsDuringLoad,
     ) : RolloutAction
 }
 
@@ -81,8 +92,8 @@
 
 /** Limits of a rollout. */
 public data class RolloutSettings(
-    /** Targets that take weights at once; from the pool's page. */
-    val atOnce: Int = 3,
+    /** The part of a pool's targets that may be emptied or load at once; the rest serves meanwhile. */
+    val shareAtOnce: Double = 0.5,
     /** How long another holder must be silent before its claim is taken over; the lease of the platform's settings. */
     val lease: Duration = 3_000.milliseconds,
 )
@@ -97,6 +108,7 @@
 ) {
     private class Work(val target: TargetId, val model: ModelName) {
         var askAt: MonotonicTime? = null
+        var emptiesUntil: MonotonicTime? = null
         var isWaiting = false
         var orderedVersion = 0L
         var orderedAt: MonotonicTime? = null
@@ -114,8 +126,8 @@
     public var holder: InstanceId? = null
         private set
 
-    /** Targets that this instance has ordered to take weights and that have not shown them. */
-    public val loading: Collection<TargetId> get() = work.values.filter { it.orderedAt != null }.map { it.target }
+    /** Targets that are being emptied for new weights or load them; requests should go elsewhere. */
+    public val loading: Collection<TargetId> get() = work.keys
 
     /** Whether some target should have newer weights. */
     public val isNeeded: Boolean get() = named.all.any { outdated(it).isNotEmpty() }
@@ -146,7 +158,11 @@
         work.values.removeIf { isDone(it) }
         for (item in work.values) {
             val askAt = item.askAt ?: continue
-            if (askAt > now || item.isWaiting) continue
+            if (askAt > now) continue
+            if (mayEmpty(item, now)) {
+                item.askAt = minOf(now + LOOK_PERIOD, item.emptiesUntil ?: now)
+                continue
+            }
             item.isWaiting = true
             item.askAt = now + ANSWER_PATIENCE
             actions += RolloutAction.AskReport(item.target)
@@ -176,6 +192,13 @@
         return listOf(RolloutAction.Claim)
     }
 
+    /** Whether the target still has runs that it is worth waiting for. */
+    private fun mayEmpty(item: Work, now: MonotonicTime): Boolean {
+        val until = item.emptiesUntil ?: return false
+        val load = directory[item.target]?.load?.total(now) ?: 0.0
+        return item.orderedAt == null && now < until && load > 0.0
+    }
+
     /** Takes the end of a claim. */
     public fun claimed(answer: ClaimAnswer, now: MonotonicTime) {
         claiming = false
@@ -196,9 +219,18 @@
 
     private fun begin(now: MonotonicTime) {
         for (weights in named.all) {
-            for (target in outdated(weights)) {
-                if (work.size >= settings.atOnce) return
-                if (target.id !in work) work[target.id] = Work(target.id, weights.model).apply { askAt = now }
+            val pools = outdated(weights).groupBy { it.entry.pool }
+            for ((pool, targets) in pools) beginIn(directory.members(pool).filter { weights.model in it.entry.weights }, targets, weights, now)
+        }
+    }
+
+    private fun beginIn(members: List<Target>, targets: List<Target>, weights: NamedWeights, now: MonotonicTime) {
+        val room = ceil(members.size * settings.shareAtOnce).toInt().coerceAtLeast(1) - members.count { it.id in work }
+        val isFirst = targets.size == members.size
+        targets.filter { it.id !in work }.sortedBy { it.load.total(now) }.take(room.coerceAtLeast(0)).forEach { target ->
+            work[target.id] = Work(target.id, weights.model).apply {
+                emptiesUntil = now + if (isFirst) FIRST_EMPTYING else EMPTYING
+                askAt = if (target.load.total(now) == 0.0) now else now + LOOK_PERIOD
             }
         }
     }
@@ -224,7 +256,8 @@
         item.orderedAt = now
         item.isWaiting = true
         item.askAt = now + ANSWER_PATIENCE
-        return listOf(RolloutAction.Order(target, weights, held, report.ordersAccepted))
+        val runs = if (report.running + report.waiting <= 0) RunsDuringLoad.FINISH else RunsDuringLoad.GO_ON
+        return listOf(RolloutAction.Order(target, weights, held, report.ordersAccepted, runs))
     }
 
     /** Takes the answer to an order. */
@@ -274,6 +307,15 @@
         /** Pause after a claim that the store did not answer. */
         val CLAIM_RETRY = 500.milliseconds
 
+        /** How long the first targets to load are emptied: what remains of 1.5 s, until starts on older weights cost, is for loading. */
+        val FIRST_EMPTYING = 800.milliseconds
+
+        /** How long the others are emptied, while the first serve: most streams take a second. */
+        val EMPTYING = 1_500.milliseconds
+
+        /** How often a target that is being emptied is looked at; its work is told as often. */
+        val LOOK_PERIOD = 100.milliseconds
+
         /** Loading takes 0.4 s on the sheet; a report before that is in vain. */
         val FIRST_REPORT = 450.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -6,6 +6,7 @@
 import org.cactuspulley.core.forwarding.ForwardingGrant
 import org.cactuspulley.core.forwarding.ForwardingRefusal
 import org.cactuspulley.core.forwarding.SendFailure
+import org.cactuspulley.core.forwarding.WorkspaceDescription
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.model.TargetId
 import kotlin.time.Duration
@@ -42,6 +43,18 @@
         )
     }
 
+    fun overRate(request: ForwardedRequest, workspace: WorkspaceDescription, cost: Double, available: Double) {
+        write(
+            "over_rate",
+            "request" to request.id.text,
+            "workspace" to workspace.name.text,
+            "cost" to cost,
+            "available" to available.toLong(),
+            "rate" to workspace.rate,
+            "burst" to workspace.burst,
+        )
+    }
+
     fun sendFailed(request: ForwardedRequest, target: TargetId, failure: SendFailure, reason: String) {
         metrics.sendFailed(failure.name)
         write("send_failed", "request" to request.id.text, "target" to target.text, "cause" to failure.name, "reason" to reason)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -95,11 +95,12 @@
             registryNext = registry.replica.next,
             claimFence = rollout.fence,
             uses = state.allAllowances.map { (workspace, allowance) ->
-                allowance.use(now).let { WorkspaceUse(workspace.text, it.total, it.perSecond) }
+                allowance.use(now).let { WorkspaceUse(workspace.text, it.total, it.perSecond, it.windowUse) }
             },
             excluded = state.directory.all.mapNotNull { target ->
                 target.health.ownExclusion(now)?.let { ExcludedTarget(target.id.text, it.inWholeMilliseconds) }
             },
+            work = state.directory.all.filter { it.load.own > 0 }.map { TargetWork(it.id.text, it.load.own) },
             loading = rollout.loading.map { it.text },
             shownWeights = shownWeights(),
             crashes = crashes.map { it.first },
@@ -126,10 +127,11 @@
         }
         HostAndPort.parse(digest.peerAddress)?.let { positions[peer] = PeerPosition(it, digest.operationsNext, digest.registryNext, now) }
         digest.uses.forEach { use ->
-            state.allowance(WorkspaceId(use.workspace))?.heard(peer, member.incarnation, AllowanceUse(use.total, use.perSecond), now)
+            state.allowance(WorkspaceId(use.workspace))?.heard(peer, member.incarnation, AllowanceUse(use.total, use.perSecond, use.windowUse), now)
         }
         digest.crashes.forEach { state.crashes.add(it, now) }
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.heard(it.millis.milliseconds, now) }
+        digest.work.forEach { state.directory[TargetId(it.target)]?.load?.heard(peer, it.units, now) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = now + LOADING_TOLD }
         digest.shownWeights.forEach { state.directory[TargetId(it.target)]?.sawWeights(ModelName(it.model), it.version) }
         digest.claimFence?.let { rollout.peerHolds(peer, it) }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -31,6 +31,7 @@
     val uses: List<WorkspaceUse> = emptyList(),
     val excluded: List<ExcludedTarget> = emptyList(),
     val loading: List<String> = emptyList(),
+    val work: List<TargetWork> = emptyList(),
     val shownWeights: List<ShownWeights> = emptyList(),
     val crashes: List<CrashNotice> = emptyList(),
     val relays: List<Relay> = emptyList(),
@@ -38,7 +39,11 @@
 
 /** What the instance has used of a workspace's allowance since its start. */
 @Serializable
-internal data class WorkspaceUse(val workspace: String, val total: Double, val perSecond: Double)
+internal data class WorkspaceUse(val workspace: String, val total: Double, val perSecond: Double, val windowUse: Double)
+
+/** The work that the instance has at a target. */
+@Serializable
+internal data class TargetWork(val target: String, val units: Double)
 
 /** A target that the instance leaves out for [millis] more. */
 @Serializable
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -18,6 +18,7 @@
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.SendOutcome
 import org.cactuspulley.core.forwarding.Target
+import org.cactuspulley.core.forwarding.TargetLoad
 import org.cactuspulley.core.model.AttemptId
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
@@ -99,8 +100,10 @@
         val allowance = state.allowance(workspace) ?: return true
         if (allowance.take(grant.cost, arrivedAt)) {
             charged = grant.cost
+            if (allowance.isTight(arrivedAt)) instance.tellSoon()
             return true
         }
+        log.overRate(request, workspace, grant.cost, allowance.available(arrivedAt))
         refuseEarly(ForwardingRefusal.OVER_RATE, allowance.timeUntil(grant.cost, arrivedAt) + COME_BACK_OVER_RATE)
         return false
     }
@@ -117,7 +120,8 @@
         val now = instance.clock.now()
         val model = request.prompt?.model
         val minimum = model?.let { state.weights.minimum(it, OLD_WEIGHTS_PATIENCE, now) }
-        val wanted = ChoiceRequest(grant, request.prompt, progress.excluded, minimum, model?.let { state.weights.newest(it)?.version })
+        val preferred = model?.let { state.weights.newest(it) }?.takeIf { now - it.namedAt > OLD_WEIGHTS_FREE }?.version
+        val wanted = ChoiceRequest(grant, request.prompt, progress.excluded, minimum, preferred)
         val target = state.choice.choose(wanted, now)
         if (target == null) {
             if (now >= progress.waitsUntil) return giveUp(progress.noTarget())
@@ -127,7 +131,7 @@
         val address = HostAndPort.parse(target.entry.address) ?: return giveUp(progress.noTarget())
         val attempt = Send(target, model)
         send = attempt
-        target.inFlight++
+        target.load.add(attempt.units)
         instance.connections.acquire(target.id, address) { channel -> attempt.connected(channel) }
     }
 
@@ -163,7 +167,7 @@
     }
 
     private fun giveBack() {
-        if (charged > 0) grant.workspace?.let { state.allowance(it) }?.giveBack(charged)
+        if (charged > 0) grant.workspace?.let { state.allowance(it) }?.giveBack(charged, instance.clock.now())
         charged = 0.0
     }
 
@@ -218,7 +222,12 @@
         private var silenceTimer: Future<*>? = null
         private var over = false
         private var bodyWritten = false
-        private var lastSignAt = instance.clock.now()
+        private val startedAt = instance.clock.now()
+        private var lastSignAt = startedAt
+
+        /** The work that this send is at its target. */
+        var units = TargetLoad.until(request.prompt)
+            private set
         private val attemptId = AttemptId("${request.id.text}#${progress.sends}")
 
         val isWritten: Boolean get() = channel != null
@@ -260,14 +269,18 @@
 
         private fun awaitSign(patience: Duration) {
             silenceTimer = instance.schedule(patience) {
-                val quiet = instance.clock.now() - lastSignAt
                 if (over) return@schedule
+                val now = instance.clock.now()
+                val quiet = now - maxOf(lastSignAt, signOfOthers() ?: lastSignAt)
                 if (quiet < patience) return@schedule awaitSign(patience - quiet + TIMER_SLACK)
                 cancel(null)
                 failed(target, SendFailure.SILENT, "no sign for $quiet")
             }
         }
 
+        /** A target that answers others on a stream route is slow rather than dead: its queue moves. */
+        private fun signOfOthers(): MonotonicTime? = target.lastSign?.takeIf { grant.route.isStream && events == null && it > startedAt }
+
         override fun onHead(response: HttpResponse): Boolean {
             val read = instance.targetProtocol.answer(response)
             if (read.request != null && read.request != request.id) {
@@ -276,13 +289,18 @@
             }
             answer = read
             this.response = response
-            lastSignAt = instance.clock.now()
+            signed()
             read.load?.let { target.health.sawLoad(ReportedLoad(it.running, it.waiting, it.slots, lastSignAt)) }
             if (model != null && read.weights != null && !read.notRun) target.sawWeights(model, read.weights)
             if (grant.route.isStream && read.status in SUCCESS && read.isSigned) beginStream(response, read)
             return true
         }
 
+        private fun signed() {
+            lastSignAt = instance.clock.now()
+            target.lastSign = lastSignAt
+        }
+
         private fun beginStream(response: HttpResponse, read: TargetAnswerHead) {
             events = EventBoundary(instance.allocator)
             silenceTimer?.cancel(false)
@@ -294,7 +312,7 @@
         }
 
         override fun onContent(content: ByteBuf) {
-            lastSignAt = instance.clock.now()
+            signed()
             if (ended) return
             val stream = events
             if (stream == null) {
@@ -302,11 +320,18 @@
                 return
             }
             val whole = stream.accept(content) ?: return
+            becomeRunning()
             stream.lastEventId?.let { lastEventId = it }
             caller.send(whole)
             pause(!caller.isWritable)
         }
 
+        private fun becomeRunning() {
+            if (units == TargetLoad.RUNNING_STREAM) return
+            target.load.add(TargetLoad.RUNNING_STREAM - units)
+            units = TargetLoad.RUNNING_STREAM
+        }
+
         private fun collect(content: ByteBuf) {
             if (!collected.isReadable) {
                 collected = instance.allocator.buffer(content.readableBytes())
@@ -428,7 +453,7 @@
         private fun close() {
             if (over) return
             over = true
-            target.inFlight--
+            target.load.add(-units)
             silenceTimer?.cancel(false)
             if (send === this) send = null
             events?.release()
@@ -458,6 +483,9 @@
         /** A resumable stream that pauses for longer is continued elsewhere; callers count 500 ms as late and leave after 4 s. */
         val STREAM_PAUSE = 1_200.milliseconds
 
+        /** How long after newer weights were named a start on older ones costs nothing: 1.5 s, less the way to the first token. */
+        val OLD_WEIGHTS_FREE = 1_200.milliseconds
+
         val TIMER_SLACK = 2.milliseconds
 
         /** How long a crash counts against a request; callers send it again within a minute. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import org.cactuspulley.core.quarantine.CrashNotice
 import org.cactuspulley.runtime.control.MonotonicClock
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What exchanges share; confined to [loop]. */
 internal class ForwardingContext(
@@ -19,9 +20,12 @@
     val connections: TargetConnections,
     val log: DecisionLog,
     private val onCrash: (CrashNotice) -> Unit,
+    private val tellPeers: () -> Unit,
 ) {
     val allocator: ByteBufAllocator = PooledByteBufAllocator.DEFAULT
 
+    private var tellPending = false
+
     /** Exchanges that have not ended. */
     val exchanges = LinkedHashSet<ForwardedExchange>()
 
@@ -30,6 +34,16 @@
         if (state.crashes.add(notice, clock.now())) onCrash(notice)
     }
 
+    /** Tells peers this instance's state before the next regular digest. */
+    fun tellSoon() {
+        if (tellPending) return
+        tellPending = true
+        schedule(TELL_DELAY) {
+            tellPending = false
+            tellPeers()
+        }
+    }
+
     /** Hashes what makes requests of one caller alike. */
     fun hash(path: String, body: ByteArray): Long =
         HASHER.hashStream().putString(path).putByteArray(body).asLong
@@ -40,6 +54,9 @@
             (HttpUtil.isContentLengthSet(response) || response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING))
 
     private companion object {
+        /** Gathers several changes in one digest; a fourth of the regular period. */
+        val TELL_DELAY = 100.milliseconds
+
         val HASHER = Hashing.xxh3_64()
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -74,7 +74,9 @@
         ports.targets,
         TargetConnections(loop, clock),
         DecisionLog(metrics),
-    ) { notice -> digests.crashed(notice) }
+        onCrash = { notice -> digests.crashed(notice) },
+        tellPeers = { digests.tellAll() },
+    )
     private val log = context.log
     private val listener = CallerListener(context, ports.callers)
     private val rollout = WeightRollout(
@@ -82,7 +84,7 @@
         state.directory,
         state.weights,
         state.fleet,
-        RolloutSettings(settings.bounds.loadsAtOnce, settings.bounds.leaseMillis.milliseconds),
+        RolloutSettings(lease = settings.bounds.leaseMillis.milliseconds),
     )
     private val driver: RolloutDriver =
         RolloutDriver(context, ClaimRecord(self.id.text, incarnation), rollout, ports.store, ports.control) { digests.tellAll() }
@@ -221,7 +223,7 @@
         private fun apply(change: OperatorChange, offset: Long): Boolean {
             val now = clock.now()
             return when (change) {
-                is OperatorChange.Configuration -> state.configure(change.configuration, now).also { applied ->
+                is OperatorChange.Configuration -> state.configure(change.configuration).also { applied ->
                     log.belief("configuration", "version" to change.configuration.version, "applied" to applied, "offset" to offset)
                     cacheStores.update()
                     updateReadiness()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -1,6 +1,6 @@
 package org.cactuspulley.runtime.forwarding
 
-import org.cactuspulley.core.forwarding.AllowanceShape
+import org.cactuspulley.core.forwarding.AllowanceLimit
 import org.cactuspulley.core.forwarding.CachePlanner
 import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.FleetView
@@ -17,6 +17,7 @@
 import org.cactuspulley.core.quarantine.CrashRegister
 import org.cactuspulley.core.requests.RetryBudget
 import org.cactuspulley.runtime.settings.FleetBounds
+import kotlin.time.Duration.Companion.seconds
 
 /** What one forwarding instance believes; confined to its event loop. */
 internal class ForwardingState(self: FleetMember, private val bounds: FleetBounds, private val startedAt: MonotonicTime) {
@@ -36,7 +37,7 @@
     /** The allowance of [workspace]; null if it has no limit. */
     fun allowance(workspace: WorkspaceDescription): TokenAllowance? {
         if (workspace.rate <= 0.0) return null
-        return allowances.getOrPut(workspace.name) { TokenAllowance(shape(workspace), startedAt) }
+        return allowances.getOrPut(workspace.name) { TokenAllowance(limit(workspace), startedAt) }
     }
 
     /** The allowance that peers report on; null if the workspace is not known or has no limit. */
@@ -53,26 +54,18 @@
     }
 
     /** Puts [configuration] in force unless it is older; whether it did. */
-    fun configure(configuration: ForwardingConfiguration, now: MonotonicTime): Boolean {
+    fun configure(configuration: ForwardingConfiguration): Boolean {
         if (!gate.replace(configuration)) return false
         for ((name, allowance) in allowances) {
-            configuration.workspaces[name]?.let { allowance.reshape(shape(it), now) }
+            configuration.workspaces[name]?.let { allowance.reshape(limit(it)) }
         }
         allowances.keys.removeIf { name -> (configuration.workspaces[name]?.rate ?: 0.0) <= 0.0 }
         return true
     }
 
-    /**
-     * Within the rate window the fleet may admit `(rate * window + burst) * (1 + overshoot) + slack`. A
-     * bucket that refills at the rate can be as deep as the rest of that; a part is kept back for what
-     * instances admit before they hear of each other.
-     */
-    private fun shape(workspace: WorkspaceDescription): AllowanceShape {
-        val slack = if (workspace.countsTokens) bounds.rateSlackTokens else 0.0
-        val beyondRefill =
-            workspace.burst * (1 + bounds.rateOvershoot) + workspace.rate * bounds.rateWindowSeconds * bounds.rateOvershoot + slack
-        return AllowanceShape(workspace.rate, beyondRefill * DEPTH_SHARE)
-    }
+    /** Within any window the rate and one burst may be used; the platform's tolerance is left for what instances have not heard of. */
+    private fun limit(workspace: WorkspaceDescription): AllowanceLimit =
+        AllowanceLimit(workspace.rate * bounds.rateWindowSeconds + workspace.burst, bounds.rateWindowSeconds.seconds)
 
     private companion object {
         /** The part of the fleet's retry budget that is used; the rest covers windows that straddle a change of traffic. */
@@ -80,8 +73,5 @@
 
         /** Instances of the largest first deployment; shares for fewer would exceed the whole when others join. */
         const val SMALL_FLEET = 8
-
-        /** The part of the depth that is used; the rest is what instances admit between two digests. */
-        const val DEPTH_SHARE = 0.6
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
@@ -7,6 +7,7 @@
 import org.cactuspulley.core.forwarding.ForwardingConfiguration
 import org.cactuspulley.core.forwarding.NamedWeights
 import org.cactuspulley.core.forwarding.OrderAnswer
+import org.cactuspulley.core.forwarding.RunsDuringLoad
 import org.cactuspulley.core.forwarding.TargetEntry
 import org.cactuspulley.core.forwarding.TargetReport
 import org.cactuspulley.core.model.InstanceId
@@ -103,13 +104,14 @@
     /** Asks [target] for its report; null if there is none. */
     public fun report(target: TargetEntry, done: (TargetReport?) -> Unit)
 
-    /** Orders [target] to take [weights] when its runs have finished, if it has accepted [ordersAccepted] orders so far. */
+    /** Orders [target] to take [weights], if it has accepted [ordersAccepted] orders so far. */
     public fun order(
         target: TargetEntry,
         weights: NamedWeights,
         holder: InstanceId,
         fence: Long,
         ordersAccepted: Long,
+        runs: RunsDuringLoad,
         done: (OrderAnswer) -> Unit,
     )
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -27,11 +27,13 @@
     private val onProgress: () -> Unit,
 ) {
     private var timer: Future<*>? = null
+    private var told: Set<TargetId> = emptySet()
     private var timerAt: MonotonicTime? = null
 
     /** Does what is due; called after anything that concerns a rollout changed. */
     fun wake() {
         carryOut(rollout.step(instance.clock.now()))
+        tellLoading()
         val next = rollout.nextDeadline
         if (next == timerAt && timer?.isDone == false) return
         timer?.cancel(false)
@@ -39,6 +41,15 @@
         timer = next?.let { instance.schedule((it - instance.clock.now()).coerceAtLeast(Duration.ZERO)) { wake() } }
     }
 
+    /** Requests of all instances avoid the targets that are emptied or load. */
+    private fun tellLoading() {
+        val loading = rollout.loading.toSet()
+        val now = instance.clock.now()
+        loading.forEach { instance.state.directory[it]?.loadingUntil = now + LOADING_HINT }
+        if (loading != told) onProgress()
+        told = loading
+    }
+
     private fun carryOut(actions: List<RolloutAction>): Unit = actions.forEach { action ->
         when (action) {
             RolloutAction.Claim -> claim()
@@ -89,18 +100,14 @@
     }
 
     private fun reported(id: TargetId, report: TargetReport?) {
-        val before = rollout.loading.size
         carryOut(rollout.reported(id, report, instance.clock.now()))
-        if (rollout.loading.size != before) onProgress()
         wake()
     }
 
     private fun order(action: RolloutAction.Order) {
         val target = instance.state.directory[action.target]
         if (target == null) return ordered(action, OrderAnswer.UNANSWERED)
-        target.loadingUntil = instance.clock.now() + LOADING_HINT
-        onProgress()
-        control.order(target.entry, action.weights, InstanceId(self.holder), action.fence, action.ordersAccepted) { ordered(action, it) }
+        control.order(target.entry, action.weights, InstanceId(self.holder), action.fence, action.ordersAccepted, action.runs) { ordered(action, it) }
     }
 
     private fun ordered(action: RolloutAction.Order, answer: OrderAnswer) {
@@ -110,10 +117,10 @@
             "model" to action.weights.model.text,
             "version" to action.weights.version,
             "fence" to action.fence,
+            "runs" to action.runs.name,
             "answer" to answer.name,
         )
         rollout.ordered(action.target, answer, instance.clock.now())
-        onProgress()
         wake()
     }
 
@@ -122,5 +129,5 @@
     }
 }
 
-/** How long requests avoid a target that was ordered to take weights, unless it shows them earlier: its runs end and it loads. */
-internal val LOADING_HINT: Duration = 2.seconds
+/** How long requests avoid a target that is emptied or loads, unless it shows its weights earlier; renewed while that lasts. */
+internal val LOADING_HINT: Duration = 1.seconds
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -41,7 +41,6 @@
  * @property rateOvershoot the part by which a limit may be exceeded within the window.
  * @property rateSlackTokens the tokens by which it may be exceeded besides.
  * @property leaseMillis how long the claim to give orders outlives its holder.
- * @property loadsAtOnce targets that take new weights at once without slowing each other down.
  */
 @Serializable
 public data class FleetBounds(
@@ -51,7 +50,6 @@
     @SerialName("rate_overshoot") val rateOvershoot: Double = 0.1,
     @SerialName("rate_slack_tokens") val rateSlackTokens: Double = 0.0,
     @SerialName("lease_millis") val leaseMillis: Long = 3_000,
-    @SerialName("loads_at_once") val loadsAtOnce: Int = 3,
 )
 
 /** The first value of [settings], read from [file], that can't be used; null if there is none. */
@@ -74,7 +72,6 @@
         Triple("bounds.rate_overshoot", bounds.rateOvershoot, 0.0..1.0),
         Triple("bounds.rate_slack_tokens", bounds.rateSlackTokens, 0.0..1e12),
         Triple("bounds.lease_millis", bounds.leaseMillis.toDouble(), 1.0..600_000.0),
-        Triple("bounds.loads_at_once", bounds.loadsAtOnce.toDouble(), 1.0..1_000.0),
     )
     figures.firstOrNull { (_, value, allowed) -> value !in allowed }?.let { (key, value, allowed) ->
         return SettingsError.ValueNotAllowed(file, key, value.toString(), "${allowed.start} to ${allowed.endInclusive}")
