--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
@@ -20,10 +20,15 @@
     private val unreachable = HashSet<String>()
 
     /** Takes note whether the store at [address] answers; whether that is new. */
-    public fun storeAnswers(address: String, answers: Boolean): Boolean = if (answers) unreachable.remove(address) else unreachable.add(address)
+    public fun storeAnswers(
+        address: String,
+        answers: Boolean,
+    ): Boolean = if (answers) unreachable.remove(address) else unreachable.add(address)
 
     /** The addresses of the stores in [configuration]. */
-    public fun stores(configuration: ForwardingConfiguration): List<String> = configuration.pools.values.mapNotNull { it.cacheStore?.address }
+    public fun stores(
+        configuration: ForwardingConfiguration,
+    ): List<String> = configuration.pools.values.mapNotNull { it.cacheStore?.address }
 
     /** How a request with [prompt] uses cached pieces at [target]; null if the target does not tell its weights. */
     public fun plan(configuration: ForwardingConfiguration, grant: ForwardingGrant, prompt: PromptDescription, target: Target): CachePlan? {
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestGate.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestGate.kt
@@ -19,6 +19,7 @@
     REPEATS_EXHAUSTED,
     DEADLINE_PASSED,
     ARRIVED_TOO_SLOWLY,
+    STOPPING,
 
     /** It was sent and may have run; its time is over. */
     NO_ANSWER,
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
@@ -56,7 +56,10 @@
         val affinity = prompt.affinity ?: return candidates.minBy { it.load.total(now) }
         val loads = candidates.associateWith { it.load.total(now) }
         val bound = BOUND_BASE + BOUND_FACTOR * loads.values.sum() / candidates.size
-        val ranked = candidates.sortedByDescending { rendezvousWeight(affinity.toString(), it.id.text) }.filter { loads.getValue(it) <= bound }
+        val ranked = candidates.sortedByDescending { rendezvousWeight(affinity.toString(), it.id.text) }.filter {
+            loads.getValue(it) <=
+                bound
+        }
         val current = ranked.firstOrNull { preferred == null || (it.weights(prompt.model) ?: 0) >= preferred }
         return current ?: ranked.firstOrNull() ?: candidates.minBy { loads.getValue(it) }
     }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TokenAllowance.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TokenAllowance.kt
@@ -8,58 +8,61 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
-/** How many units a workspace may use within any span of [window], over all instances. */
-public data class AllowanceLimit(val units: Double, val window: Duration)
+/**
+ * How much a workspace may use over all instances, as a bucket.
+ *
+ * @property refill units a second.
+ * @property depth the most units that may be used at once.
+ */
+public data class AllowanceLimit(val refill: Double, val depth: Double)
 
 /**
  * One instance's use of a workspace's allowance, as it tells its peers.
  *
  * @property total what it used since its start.
  * @property perSecond how fast it uses at present.
- * @property windowUse what it believes all instances used within the last window.
+ * @property available what it believes is left.
  */
-public data class AllowanceUse(val total: Double, val perSecond: Double, val windowUse: Double)
+public data class AllowanceUse(val total: Double, val perSecond: Double, val available: Double)
 
 /**
- * One workspace's use within a sliding window, replicated on every instance.
+ * One workspace's bucket, replicated on every instance.
  *
- * Each instance counts what it admits and what its peers tell that they admitted. Between two reports a
- * peer is taken to go on as fast as before, so that the instances of a busy workspace settle at shares
- * that together are the limit, and one that hears nothing keeps about its last share. A fresh instance,
- * which knows nothing of the last window, takes most of it as used until a peer tells.
+ * Each instance takes from its own copy and tells its peers how much it took. Between two reports a
+ * peer is taken to go on as fast as before, so that the copies of a busy workspace settle at shares
+ * that together are the refill, and an instance that hears nothing keeps about its last share. A fresh
+ * copy holds little until it refills or a peer tells what is left, so that a restart of all gives nothing out twice.
  */
 public class TokenAllowance(private var limit: AllowanceLimit, private val startedAt: MonotonicTime) {
     private class PeerUse(val incarnation: InstanceIncarnation, var use: AllowanceUse, var heardAt: MonotonicTime)
 
-    private class Slice(val endsAt: MonotonicTime, var units: Double)
-
     private val peers = HashMap<InstanceId, PeerUse>()
-    private val slices = ArrayDeque<Slice>()
-    private var used = 0.0
+    private var level = limit.depth * FRESH_SHARE
+    private var updatedAt = startedAt
     private var total = 0.0
     private var ratePerSecond = 0.0
     private var rateAt = startedAt
-    private var unknownUse = limit.units * UNKNOWN_SHARE
 
-    /** Whether so much is used that peers should hear of each admission soon. */
-    public fun isTight(now: MonotonicTime): Boolean = available(now) < limit.units * TIGHT_SHARE
+    /** Whether so little is left that peers should hear of each admission soon. */
+    public fun isTight(now: MonotonicTime): Boolean = available(now) < limit.depth * TIGHT_SHARE
 
     /** What this instance tells its peers. */
     public fun use(now: MonotonicTime): AllowanceUse {
         decayRate(now)
-        return AllowanceUse(total, ratePerSecond, limit.units - available(now))
+        return AllowanceUse(total, ratePerSecond, available(now))
     }
 
-    /** Changes the limit. */
-    public fun reshape(newer: AllowanceLimit) {
-        unknownUse *= newer.units / limit.units
+    /** Changes the limit; what is saved up beyond the new depth is lost. */
+    public fun reshape(newer: AllowanceLimit, now: MonotonicTime) {
+        refill(now)
         limit = newer
+        level = level.coerceAtMost(newer.depth)
     }
 
-    /** Takes [cost] units if the limit leaves them. */
+    /** Takes [cost] units if they are there. */
     public fun take(cost: Double, now: MonotonicTime): Boolean {
         if (available(now) < cost) return false
-        record(cost, now)
+        level -= cost
         total += cost
         decayRate(now)
         ratePerSecond += cost / RATE_WINDOW_SECONDS
@@ -68,47 +71,43 @@
 
     /** Gives back [cost] units of a request that did not run. */
     public fun giveBack(cost: Double, now: MonotonicTime) {
-        record(-cost, now)
+        refill(now)
+        level = (level + cost).coerceAtMost(limit.depth)
         total -= cost
     }
 
-    /** How long until [cost] units are left, if nobody uses any more; the whole window if the limit is below that. */
+    /** How long until [cost] units are there, at the speed at which peers use them now. */
     public fun timeUntil(cost: Double, now: MonotonicTime): Duration {
-        var missing = cost - available(now)
-        for (slice in slices) {
-            if (missing <= 0) return (slice.endsAt - now).coerceAtLeast(Duration.ZERO)
-            missing -= slice.units
-        }
-        return limit.window
+        val missing = cost - available(now)
+        if (missing <= 0) return Duration.ZERO
+        val gain = (limit.refill - peers.values.sumOf { it.use.perSecond }).coerceAtLeast(limit.refill * LEAST_GAIN).coerceAtLeast(1.0)
+        return (missing / gain * MILLIS_PER_SECOND).milliseconds
     }
 
-    /** Counts what a peer used since its last report. */
+    /** Charges what a peer used since its last report. */
     public fun heard(peer: InstanceId, incarnation: InstanceIncarnation, use: AllowanceUse, now: MonotonicTime) {
+        refill(now)
         val known = peers[peer]
         if (known == null || known.incarnation != incarnation) {
             peers[peer] = PeerUse(incarnation, use, now)
-            if (now - startedAt < limit.window) unknownUse = minOf(unknownUse, use.windowUse.coerceAtLeast(0.0))
+            if (now - startedAt < FRESH) level = maxOf(level, use.available.coerceAtMost(limit.depth))
             return
         }
-        record(use.total - known.use.total, now)
+        level = (level - (use.total - known.use.total)).coerceAtMost(limit.depth)
         known.use = use
         known.heardAt = now
     }
 
     /** The units that may be used now. */
     public fun available(now: MonotonicTime): Double {
-        while (slices.isNotEmpty() && slices.first().endsAt <= now) used -= slices.removeFirst().units
-        val unheard = peers.values.sumOf { it.use.perSecond * seconds((now - it.heardAt).coerceAtMost(EXTRAPOLATION)) }
-        val unknown = unknownUse * (1 - seconds(now - startedAt) / seconds(limit.window)).coerceAtLeast(0.0)
-        return limit.units - used - unheard - unknown
+        refill(now)
+        return level - peers.values.sumOf { it.use.perSecond * seconds((now - it.heardAt).coerceAtMost(EXTRAPOLATION)) }
     }
 
-    private fun record(units: Double, now: MonotonicTime) {
-        if (units == 0.0) return
-        val endsAt = now + limit.window
-        val last = slices.lastOrNull()
-        if (last != null && endsAt - last.endsAt < SLICE) last.units += units else slices.addLast(Slice(endsAt, units))
-        used += units
+    private fun refill(now: MonotonicTime) {
+        if (now <= updatedAt) return
+        level = (level + limit.refill * seconds(now - updatedAt)).coerceAtMost(limit.depth)
+        updatedAt = now
     }
 
     private fun decayRate(now: MonotonicTime) {
@@ -120,18 +119,23 @@
     private fun seconds(duration: Duration): Double = duration.toDouble(DurationUnit.SECONDS)
 
     private companion object {
-        /** The part of the window that a fresh instance takes as used: after a restart of all, use before and after stays within an eighth over. */
-        const val UNKNOWN_SHARE = 0.75
+        const val MILLIS_PER_SECOND = 1_000.0
 
-        /** Below this part of the limit, admissions of peers matter before their next regular report. */
-        const val TIGHT_SHARE = 0.3
+        /** Below this part of the depth, admissions of peers matter before their next regular report. */
+        const val TIGHT_SHARE = 0.5
+
+        /** The part of the refill that an instance counts on even where its peers use it all: about its own share. */
+        const val LEAST_GAIN = 0.1
+
+        /** What a fresh copy holds of the depth; sixteen instances that start at once give one depth out together. */
+        const val FRESH_SHARE = 0.0625
+
+        /** A copy this young has given out next to nothing and takes over what a peer says is left. */
+        val FRESH = 2_000.milliseconds
 
         /** Long enough that single large prompts do not swing the rate, short against the windows in which limits are judged. */
         const val RATE_WINDOW_SECONDS = 1.5
 
-        /** Uses this close together leave the window together; keeps a window in some eighty slices. */
-        val SLICE = 100.milliseconds
-
         /** A peer that has been silent for longer may have ended; its share then falls to the others. */
         val EXTRAPOLATION = 3_000.milliseconds
     }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -46,7 +46,13 @@
 }
 
 /** What a target says about its weights and orders. */
-public data class TargetReport(val versions: Map<ModelName, Long>, val isBusy: Boolean, val ordersAccepted: Long, val running: Int, val waiting: Int)
+public data class TargetReport(
+    val versions: Map<ModelName, Long>,
+    val isBusy: Boolean,
+    val ordersAccepted: Long,
+    val running: Int,
+    val waiting: Int,
+)
 
 /** What becomes of the runs of a target that takes new weights. */
 public enum class RunsDuringLoad {
@@ -220,7 +226,16 @@
     private fun begin(now: MonotonicTime) {
         for (weights in named.all) {
             val pools = outdated(weights).groupBy { it.entry.pool }
-            for ((pool, targets) in pools) beginIn(directory.members(pool).filter { weights.model in it.entry.weights }, targets, weights, now)
+            for ((pool, targets) in pools) {
+                beginIn(
+                    directory.members(pool).filter {
+                        weights.model in it.entry.weights
+                    },
+                    targets,
+                    weights,
+                    now,
+                )
+            }
         }
     }
 
--- a/core/src/main/kotlin/org/cactuspulley/core/requests/GracefulStop.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/requests/GracefulStop.kt
@@ -3,10 +3,12 @@
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.earliest
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
- * Decides when a process that was asked to stop may end: once no caller is sent to it any more and
- * every request has ended, or at the stop deadline.
+ * Decides when a process that was asked to stop may end: once no caller is sent to it any more, every
+ * request has ended and none has come for [QUIET], or at the stop deadline. A caller that learns late of
+ * the stop, or uses a kept connection, is thus served rather than cut.
  */
 internal class GracefulStop(private val entryAnswerLifetime: Duration) {
     private var serveUntil: MonotonicTime? = null
@@ -25,6 +27,14 @@
         return true
     }
 
+    /** Takes note that a request arrived: callers still come here. */
+    fun arrived(now: MonotonicTime) {
+        val soonest = serveUntil ?: return
+        val latest = stopDeadline ?: return
+        serveUntil = minOf(maxOf(soonest, now + QUIET), latest)
+        answersRanOut = false
+    }
+
     /** Whether the stop is complete at [now]; true only once. */
     fun completesAt(now: MonotonicTime, idle: Boolean): Boolean {
         val soonest = serveUntil ?: return false
@@ -35,4 +45,9 @@
         completed = true
         return true
     }
+
+    private companion object {
+        /** Callers that still know the address send a request about every half second each at the lowest rates replayed. */
+        val QUIET = 1.seconds
+    }
 }
--- a/core/src/main/kotlin/org/cactuspulley/core/requests/RequestPart.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/requests/RequestPart.kt
@@ -110,6 +110,7 @@
     }
 
     private fun arrive(description: RequestDescription, now: MonotonicTime) {
+        gracefulStop.arrived(now)
         authorization.authorize(description, now).fold(
             success = { grant -> accept(description, grant, now) },
             failure = { failure -> effects += RefuseRequest(description.id, Refusal(failure.refusalKind(), notRun = true)) },
--- /dev/null
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
@@ -0,0 +1,97 @@
+package org.cactuspulley.core.forwarding
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.enum
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.requests.RetryBudget
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class RequestProgressSpec : DescribeSpec({
+    fun progress(
+        repeatability: Repeatability,
+        sends: Int = 2,
+        budget: RetryBudget = RetryBudget(0.2, 10.0),
+        deadline: MonotonicTime? = null,
+    ) =
+        RequestProgress(grant(route(repeatability, sends = sends)), deadline, START, budget)
+
+    val mayHaveRun = setOf(SendFailure.BROKEN, SendFailure.SILENT, SendFailure.FAILED)
+    val promises = setOf(
+        ForwardingRefusal.NO_TARGET,
+        ForwardingRefusal.REPEATS_EXHAUSTED,
+        ForwardingRefusal.DEADLINE_PASSED,
+        ForwardingRefusal.OVER_RATE,
+    )
+
+    describe("a request that runs at most once") {
+        it("is never sent again after a send that may have run, and promises nothing then") {
+            checkAll(Arb.list(Arb.enum<SendFailure>(), 1..8)) { failures ->
+                val progress = progress(Repeatability.AT_MOST_ONCE)
+                var ran = false
+                for ((index, failure) in failures.withIndex()) {
+                    progress.sent()
+                    ran = ran || failure in mayHaveRun
+                    val next = progress.failed(TargetId("t-$index"), failure, START + 10.milliseconds)
+                    if (ran) {
+                        next.shouldBeInstanceOf<NextStep.GiveUp>()
+                        (next.refusal in promises) shouldBe false
+                        next.comeBackAfter shouldBe null
+                        break
+                    }
+                    if (next is NextStep.GiveUp) break
+                }
+            }
+        }
+
+        it("is sent elsewhere when nothing took it") {
+            val progress = progress(Repeatability.AT_MOST_ONCE)
+            progress.failed(TargetId("t-1"), SendFailure.UNREACHABLE, START) shouldBe NextStep.SendAgain
+            progress.excluded shouldBe setOf(TargetId("t-1"))
+        }
+
+        it("has no patience after which it would be sent twice") {
+            progress(Repeatability.AT_MOST_ONCE).silencePatience shouldBe null
+        }
+    }
+
+    describe("a repeatable request") {
+        it("runs on as many targets as its route allows") {
+            val progress = progress(Repeatability.FROM_START, sends = 2)
+            progress.sent()
+            progress.failed(TargetId("t-1"), SendFailure.BROKEN, START) shouldBe NextStep.SendAgain
+            progress.sent()
+            progress.failed(TargetId("t-2"), SendFailure.BROKEN, START) shouldBe NextStep.GiveUp(ForwardingRefusal.TARGET_FAILED, null)
+        }
+
+        it("is not sent again when the fleet's budget is used up") {
+            val progress = progress(Repeatability.FROM_START, budget = RetryBudget(0.0, 0.5))
+            progress.sent()
+            val next = progress.failed(TargetId("t-1"), SendFailure.NOT_RUN_FULL, START)
+            next.shouldBeInstanceOf<NextStep.GiveUp>().refusal shouldBe ForwardingRefusal.REPEATS_EXHAUSTED
+        }
+
+        it("costs the budget nothing while nobody was reached") {
+            val progress = progress(Repeatability.FROM_START, budget = RetryBudget(0.0, 0.5))
+            progress.failed(TargetId("t-1"), SendFailure.UNREACHABLE, START) shouldBe NextStep.SendAgain
+        }
+    }
+
+    describe("the time of a request") {
+        it("ends at the route's timeout or the caller's deadline, whichever is first") {
+            progress(Repeatability.FROM_START).deadline shouldBe START + 6.seconds
+            progress(Repeatability.FROM_START, deadline = START + 1.seconds).deadline shouldBe START + 1.seconds
+        }
+
+        it("promises that it has not run only if no send is outstanding or may have run") {
+            progress(Repeatability.AT_MOST_ONCE).timeIsOver(isOutstanding = false).refusal shouldBe ForwardingRefusal.DEADLINE_PASSED
+            progress(Repeatability.AT_MOST_ONCE).timeIsOver(isOutstanding = true).refusal shouldBe ForwardingRefusal.NO_ANSWER
+        }
+    }
+})
--- /dev/null
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetChoiceSpec.kt
@@ -0,0 +1,115 @@
+package org.cactuspulley.core.forwarding
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.model.ZoneName
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class TargetChoiceSpec : DescribeSpec({
+    fun directory(count: Int = 8) = TargetDirectory().apply { (1..count).forEach { report(entry("t-$it")) } }
+
+    fun choice(directory: TargetDirectory, seed: Int = 1) = TargetChoice(directory, ZoneName("zone-a"), Random(seed))
+
+    fun asked(subject: Long, excluded: Set<TargetId> = emptySet(), minimum: Long? = null, preferred: Long? = null) =
+        ChoiceRequest(grant(), prompt(subject), excluded, minimum, preferred)
+
+    describe("the choice for a prompt") {
+        it("is the same on all instances and spreads subjects") {
+            val one = choice(directory(), 1)
+            val other = choice(directory(), 2)
+            val targets = (1L..100L).map { subject ->
+                val chosen = one.choose(asked(subject), START)?.id
+                other.choose(asked(subject), START)?.id shouldBe chosen
+                chosen
+            }
+            targets.toSet().size shouldBe 8
+        }
+
+        it("moves only the subjects of a target that went") {
+            val directory = directory()
+            val before = (1L..100L).associateWith { choice(directory).choose(asked(it), START)?.id }
+            directory.remove(TargetId("t-3"), START)
+            before.filterValues { it != TargetId("t-3") }.forEach { (subject, target) ->
+                choice(directory).choose(asked(subject), START)?.id shouldBe target
+            }
+        }
+
+        it("leaves a target that is loaded far beyond the mean") {
+            val directory = directory()
+            val first = choice(directory).choose(asked(7), START) ?: error("no target")
+            first.load.add(40.0)
+            (choice(directory).choose(asked(7), START)?.id == first.id) shouldBe false
+        }
+
+        it("takes targets with the preferred weights while they have room, and others beyond that") {
+            val directory = directory(2)
+            directory.report(entry("t-2", weights = 2, report = 2))
+            choice(directory).choose(asked(7, preferred = 2), START)?.id shouldBe TargetId("t-2")
+            directory[TargetId("t-2")]?.load?.add(100.0)
+            choice(directory).choose(asked(7, preferred = 2), START)?.id shouldBe TargetId("t-1")
+        }
+
+        it("never begins below the minimum weights") {
+            choice(directory()).choose(asked(7, minimum = 2), START) shouldBe null
+        }
+
+        it("avoids targets that load weights, leave, failed the request or are left out") {
+            val directory = directory(5)
+            directory[TargetId("t-1")]?.loadingUntil = START + 1.seconds
+            directory.report(entry("t-2", leaving = true, report = 2))
+            directory[TargetId("t-3")]?.health?.record(SendOutcome.UNREACHABLE, START)
+            (1L..50L).forEach { choice(directory).choose(asked(it, excluded = setOf(TargetId("t-4"))), START)?.id shouldBe TargetId("t-5") }
+        }
+    }
+
+    describe("the choice for a plain request") {
+        val plain = ChoiceRequest(grant(), null, emptySet(), null, null)
+
+        it("prefers the own zone until it is fuller") {
+            val directory = TargetDirectory()
+            directory.report(entry("near", zone = "zone-a"))
+            directory.report(entry("far", zone = "zone-b"))
+            choice(directory).choose(plain, START)?.id shouldBe TargetId("near")
+            directory[TargetId("near")]?.load?.add(4.0)
+            choice(directory).choose(plain, START)?.id shouldBe TargetId("far")
+        }
+    }
+
+    describe("health") {
+        it("leaves a target out after two failures in a row, for longer each time, and takes it back after a success") {
+            val health = TargetHealth()
+            health.record(SendOutcome.BROKEN, START)
+            health.isExcluded(START) shouldBe false
+            health.record(SendOutcome.BROKEN, START)
+            health.isExcluded(START) shouldBe true
+            health.isExcluded(START + 700.milliseconds) shouldBe false
+            health.record(SendOutcome.BROKEN, START + 1.seconds)
+            health.isExcluded(START + 2.seconds) shouldBe true
+            health.record(SendOutcome.SUCCEEDED, START + 2.seconds)
+            health.isExcluded(START + 2.seconds) shouldBe false
+        }
+
+        it("does not take another instance's word against a fresh success of its own") {
+            val health = TargetHealth()
+            health.record(SendOutcome.SUCCEEDED, START)
+            health.heard(1.seconds, START + 100.milliseconds)
+            health.isExcluded(START + 200.milliseconds) shouldBe false
+            health.heard(1.seconds, START + 2.seconds)
+            health.isExcluded(START + 2.5.seconds) shouldBe true
+        }
+    }
+
+    describe("work at a target") {
+        it("is the sum over instances and forgets silent ones") {
+            val load = TargetLoad()
+            load.add(TargetLoad.until(prompt(own = 2_890)))
+            load.heard(org.cactuspulley.core.model.InstanceId("i-2"), 5.0, START)
+            (load.total(START) * 100).toInt() shouldBeGreaterThan 700
+            (load.total(START + 2.seconds) == load.own) shouldBe true
+        }
+    }
+})
--- /dev/null
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -0,0 +1,227 @@
+package org.cactuspulley.core.forwarding
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.InstanceIncarnation
+import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.model.ZoneName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private fun member(id: String, incarnation: Long = 1) =
+    FleetMember(InstanceId(id), InstanceIncarnation(incarnation), ZoneName("zone-a"), "10.0.0.9:1", "10.0.0.9:2")
+
+/** A rollout in virtual time over targets that load as long as [loadTime]. */
+private class RolloutSimulation(targets: Int, private val loadTime: Duration = 450.milliseconds) {
+    val directory = TargetDirectory().apply { (1..targets).forEach { report(entry("t-$it")) } }
+    val named = NamedWeightsRegister()
+    val fleet = FleetView(member("i-1"))
+    val rollout = WeightRollout(InstanceId("i-1"), directory, named, fleet)
+    var now = START
+    var claims = 0
+    var claimAnswer: ClaimAnswer = ClaimAnswer.Granted(1)
+    var orderAnswer = OrderAnswer.ACCEPTED
+    val orders = mutableListOf<RolloutAction.Order>()
+    private val loads = HashMap<TargetId, Pair<Long, MonotonicTime>>()
+    private val versions = HashMap<TargetId, Long>()
+    var mostAway = 0
+
+    fun play(duration: Duration) {
+        val until = now + duration
+        while (now < until) {
+            loads.filterValues { it.second <= now }.forEach { (target, load) ->
+                versions[target] = load.first
+                loads.remove(target)
+            }
+            perform(rollout.step(now))
+            mostAway = maxOf(mostAway, rollout.loading.size)
+            now += 10.milliseconds
+        }
+    }
+
+    private fun perform(actions: List<RolloutAction>) {
+        for (action in actions) {
+            when (action) {
+                RolloutAction.Claim -> {
+                    claims++
+                    rollout.claimed(claimAnswer, now)
+                }
+
+                is RolloutAction.AskReport -> perform(rollout.reported(action.target, report(action.target), now))
+
+                is RolloutAction.Order -> {
+                    orders += action
+                    if (orderAnswer == OrderAnswer.ACCEPTED) loads[action.target] = action.weights.version to now + loadTime
+                    rollout.ordered(action.target, orderAnswer, now)
+                }
+            }
+        }
+    }
+
+    private fun report(target: TargetId) =
+        TargetReport(mapOf(MODEL to (versions[target] ?: 1L)), isBusy = target in loads, ordersAccepted = 0, running = 0, waiting = 0)
+}
+
+class WeightRolloutSpec : DescribeSpec({
+    describe("a rollout") {
+        it("does nothing while no target is outdated") {
+            val simulation = RolloutSimulation(8)
+            simulation.named.named(MODEL, 1, START)
+            simulation.play(5.seconds)
+            simulation.claims shouldBe 0
+            simulation.rollout.nextDeadline shouldBe null
+        }
+
+        it("brings all targets to the newest weights, half of them at a time at most, with one order each") {
+            val simulation = RolloutSimulation(8)
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(6.seconds)
+            simulation.rollout.isNeeded shouldBe false
+            simulation.orders.groupBy { it.target }.values.forEach { it shouldHaveSize 1 }
+            simulation.orders shouldHaveSize 8
+            simulation.mostAway shouldBe 4
+        }
+
+        it("skips a version that was superseded before a target's turn") {
+            val simulation = RolloutSimulation(8, loadTime = 900.milliseconds)
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(500.milliseconds)
+            simulation.named.named(MODEL, 3, simulation.now)
+            simulation.play(8.seconds)
+            simulation.rollout.isNeeded shouldBe false
+            (simulation.orders.count { it.weights.version == 2L }) shouldBe 4
+        }
+
+        it("lets runs finish at an empty target and go on only where they would hold the load up") {
+            val simulation = RolloutSimulation(2)
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(4.seconds)
+            simulation.orders.map { it.runs }.toSet() shouldBe setOf(RunsDuringLoad.FINISH)
+        }
+
+        it("waits for work at a target, but not for ever") {
+            val simulation = RolloutSimulation(1)
+            simulation.directory[TargetId("t-1")]?.load?.add(1.0)
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(700.milliseconds)
+            simulation.orders.shouldBeEmpty()
+            simulation.play(300.milliseconds)
+            simulation.orders shouldHaveSize 1
+        }
+
+        it("orders a lost order again") {
+            val simulation = RolloutSimulation(1)
+            simulation.orderAnswer = OrderAnswer.UNANSWERED
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(1.seconds)
+            simulation.orderAnswer = OrderAnswer.ACCEPTED
+            simulation.play(3.seconds)
+            simulation.rollout.isNeeded shouldBe false
+        }
+    }
+
+    describe("the claim") {
+        it("is given up when a target has seen a higher fencing token, and that token is not used again") {
+            val simulation = RolloutSimulation(1)
+            simulation.orderAnswer = OrderAnswer.FENCED
+            simulation.named.named(MODEL, 2, START)
+            simulation.claimAnswer = ClaimAnswer.Granted(4)
+            simulation.play(20.milliseconds)
+            simulation.rollout.fence shouldBe null
+            simulation.claimAnswer = ClaimAnswer.Lost(InstanceId("i-2"))
+            simulation.play(2.seconds)
+            simulation.orders shouldHaveSize 1
+        }
+
+        it("is not taken from a holder that was heard within its lease") {
+            val simulation = RolloutSimulation(1)
+            simulation.fleet.heard(member("i-2"), serves = true, START)
+            simulation.rollout.peerHolds(InstanceId("i-2"), 3)
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(2.9.seconds)
+            simulation.claims shouldBe 0
+            simulation.play(600.milliseconds)
+            simulation.claims shouldBe 1
+        }
+
+        it("falls to the best-ranked instance first") {
+            val simulation = RolloutSimulation(1)
+            val rank = run {
+                (2..9).forEach { simulation.fleet.heard(member("i-$it"), serves = true, START) }
+                simulation.fleet.rank("weight-rollout", START)
+            }
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(100.milliseconds)
+            simulation.claims shouldBe if (rank == 0) 1 else 0
+            rank shouldBeLessThan 9
+        }
+
+        it("is resigned when a peer holds a higher token") {
+            val simulation = RolloutSimulation(1)
+            simulation.named.named(MODEL, 2, START)
+            simulation.play(10.milliseconds)
+            simulation.rollout.fence shouldBe 1
+            simulation.rollout.peerHolds(InstanceId("i-2"), 7)
+            simulation.rollout.fence shouldBe null
+        }
+    }
+
+    describe("the oldest weights on which a request may begin") {
+        it("are the newest that were named the patience ago") {
+            val named = NamedWeightsRegister()
+            named.minimum(MODEL, 6.seconds, START) shouldBe null
+            named.named(MODEL, 2, START)
+            named.named(MODEL, 3, START + 2.seconds)
+            named.minimum(MODEL, 6.seconds, START + 5.seconds) shouldBe null
+            named.minimum(MODEL, 6.seconds, START + 6.seconds) shouldBe 2
+            named.minimum(MODEL, 6.seconds, START + 8.seconds) shouldBe 3
+            named.named(MODEL, 2, START + 9.seconds) shouldBe false
+        }
+    }
+
+    describe("the fleet's view") {
+        it("names live instances that serve, the caller's zone first") {
+            val fleet = FleetView(member("i-1"))
+            fleet.heard(member("i-2").copy(callerAddress = "10.0.0.2:1", zone = ZoneName("zone-b")), serves = true, START)
+            fleet.heard(member("i-3").copy(callerAddress = "10.0.0.3:1"), serves = false, START)
+            fleet.callerAddresses(null, START) shouldBe listOf("10.0.0.2:1")
+            fleet.selfServes = true
+            fleet.callerAddresses(ZoneName("zone-a"), START) shouldBe listOf("10.0.0.9:1", "10.0.0.2:1")
+            fleet.callerAddresses(null, START + 2.seconds) shouldBe listOf("10.0.0.9:1")
+        }
+
+        it("does not listen to an earlier start") {
+            val fleet = FleetView(member("i-1"))
+            fleet.heard(member("i-2", incarnation = 5), serves = false, START)
+            fleet.heard(member("i-2", incarnation = 4), serves = true, START) shouldBe false
+            fleet.callerAddresses(null, START).shouldBeEmpty()
+        }
+    }
+
+    describe("the plan for cached pieces") {
+        it("names the weights, and the workspace where that is isolated") {
+            val target = TargetDirectory().apply { report(entry("t-1", weights = 4)) }[TargetId("t-1")] ?: error("no target")
+            val planner = CachePlanner()
+            val configuration = configuration(store = "10.9.9.9:1")
+            val open = planner.plan(configuration, grant(), prompt(), target)
+            open shouldBe CachePlan("model-a@4/", 4, "10.9.9.9:1")
+            val walled = planner.plan(configuration, grant(workspace = workspace("tenant-w", isolated = true)), prompt(), target)
+            walled?.scope shouldBe "model-a@4/tenant-w"
+        }
+
+        it("does without a store that does not answer") {
+            val target = TargetDirectory().apply { report(entry("t-1")) }[TargetId("t-1")] ?: error("no target")
+            val planner = CachePlanner()
+            planner.storeAnswers("10.9.9.9:1", false) shouldBe true
+            planner.plan(configuration(store = "10.9.9.9:1"), grant(), prompt(), target)?.store shouldBe null
+            planner.storeAnswers("10.9.9.9:1", true) shouldBe true
+            planner.plan(configuration(store = "10.9.9.9:1"), grant(), prompt(), target)?.store shouldBe "10.9.9.9:1"
+        }
+    }
+})
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -95,7 +95,7 @@
             registryNext = registry.replica.next,
             claimFence = rollout.fence,
             uses = state.allAllowances.map { (workspace, allowance) ->
-                allowance.use(now).let { WorkspaceUse(workspace.text, it.total, it.perSecond, it.windowUse) }
+                allowance.use(now).let { WorkspaceUse(workspace.text, it.total, it.perSecond, it.available) }
             },
             excluded = state.directory.all.mapNotNull { target ->
                 target.health.ownExclusion(now)?.let { ExcludedTarget(target.id.text, it.inWholeMilliseconds) }
@@ -127,7 +127,9 @@
         }
         HostAndPort.parse(digest.peerAddress)?.let { positions[peer] = PeerPosition(it, digest.operationsNext, digest.registryNext, now) }
         digest.uses.forEach { use ->
-            state.allowance(WorkspaceId(use.workspace))?.heard(peer, member.incarnation, AllowanceUse(use.total, use.perSecond, use.windowUse), now)
+            state.allowance(
+                WorkspaceId(use.workspace),
+            )?.heard(peer, member.incarnation, AllowanceUse(use.total, use.perSecond, use.available), now)
         }
         digest.crashes.forEach { state.crashes.add(it, now) }
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.heard(it.millis.milliseconds, now) }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -39,7 +39,7 @@
 
 /** What the instance has used of a workspace's allowance since its start. */
 @Serializable
-internal data class WorkspaceUse(val workspace: String, val total: Double, val perSecond: Double, val windowUse: Double)
+internal data class WorkspaceUse(val workspace: String, val total: Double, val perSecond: Double, val available: Double)
 
 /** The work that the instance has at a target. */
 @Serializable
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -83,6 +83,7 @@
     /** Authorizes and sends the request. */
     fun start() {
         grant = state.gate.authorize(request).getOrElse { refusal -> return refuseEarly(refusal, COME_BACK_UNCONFIGURED) }
+        if (grant.route.isStream && instance.isTooLateForStreams()) return refuseEarly(ForwardingRefusal.STOPPING, COME_BACK_STOPPING)
         val mark = Fingerprint(grant.workspace?.name, instance.hash(request.path, body))
         fingerprint = mark
         if (state.crashes.verdict(mark, arrivedAt) is QuarantineVerdict.Quarantined) {
@@ -395,7 +396,8 @@
         /** Another target has the address, or the target has newer weights than were known. */
         private fun learnName(head: TargetAnswerHead) {
             val newer = head.weights ?: model?.let { state.weights.newest(it)?.version }
-            if (model != null && newer != null && (head.target == null || head.target == target.id.text)) {
+            val isSame = head.target == null || head.target == target.id.text
+            if (model != null && newer != null && isSame) {
                 target.sawWeights(model, newer)
             } else {
                 state.directory.misnamed(target.id)
@@ -468,6 +470,9 @@
         /** An instance without a configuration has one as soon as the store answers, within a second mostly. */
         val COME_BACK_UNCONFIGURED = 500.milliseconds
 
+        /** Another instance takes the request at once. */
+        val COME_BACK_STOPPING = 50.milliseconds
+
         /** A request that crashes targets is not tried again within any caller's time. */
         val COME_BACK_CRASHING = 5_000.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.quarantine.CrashNotice
 import org.cactuspulley.runtime.control.MonotonicClock
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,6 +30,12 @@
     /** Exchanges that have not ended. */
     val exchanges = LinkedHashSet<ForwardedExchange>()
 
+    /** Since when the instance leaves; null while it does not. */
+    var stoppingSince: MonotonicTime? = null
+
+    /** Whether a stream that begins now might not end before the process does. */
+    fun isTooLateForStreams(): Boolean = stoppingSince?.let { clock.now() - it > STREAMS_AFTER_STOP } ?: false
+
     /** Takes note that a target broke off while it ran a request, and tells the fleet. */
     fun noteCrash(notice: CrashNotice) {
         if (state.crashes.add(notice, clock.now())) onCrash(notice)
@@ -54,6 +61,9 @@
             (HttpUtil.isContentLengthSet(response) || response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING))
 
     private companion object {
+        /** By then no caller is sent here any more; what is left of the grace of 8 s is for streams that began before. */
+        val STREAMS_AFTER_STOP = 2_800.milliseconds
+
         /** Gathers several changes in one digest; a fourth of the regular period. */
         val TELL_DELAY = 100.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -96,7 +96,6 @@
         DigestExchange(context, self, rollout, operations, registry, { driver.wake() }, peers::send)
     private val cacheStores = CacheStoreWatch(context, ports.control)
     private val channels = mutableListOf<Channel>()
-    private var stoppingSince: MonotonicTime? = null
     private val stopped = CompletableFuture<Unit>()
 
     /** Begins to serve; returns when the sockets are bound. */
@@ -134,7 +133,7 @@
         for (id in state.directory.removeDue(now)) removed(id)
         if (isRegistryDue(now)) registry.read()
         updateReadiness()
-        val since = stoppingSince
+        val since = context.stoppingSince
         if (since != null) stopIfDone(since, now)
     }
 
@@ -154,7 +153,7 @@
     }
 
     private fun updateReadiness() {
-        val serves = stoppingSince == null && state.gate.configuration != null && registry.replica.next != null
+        val serves = context.stoppingSince == null && state.gate.configuration != null && registry.replica.next != null
         if (serves == state.fleet.selfServes) return
         state.fleet.selfServes = serves
         log.belief(if (serves) "ready" else "not_ready")
@@ -180,8 +179,8 @@
     /** Leaves: callers are told to go elsewhere, requests are served to their end; completes when the process may end. */
     public fun stop(): CompletionStage<Unit> {
         loop.execute {
-            if (stoppingSince != null) return@execute
-            stoppingSince = clock.now()
+            if (context.stoppingSince != null) return@execute
+            context.stoppingSince = clock.now()
             log.belief("stopping", "exchanges" to context.exchanges.size)
             listener.isLeaving = true
             updateReadiness()
@@ -223,7 +222,7 @@
         private fun apply(change: OperatorChange, offset: Long): Boolean {
             val now = clock.now()
             return when (change) {
-                is OperatorChange.Configuration -> state.configure(change.configuration).also { applied ->
+                is OperatorChange.Configuration -> state.configure(change.configuration, now).also { applied ->
                     log.belief("configuration", "version" to change.configuration.version, "applied" to applied, "offset" to offset)
                     cacheStores.update()
                     updateReadiness()
@@ -301,7 +300,7 @@
         val REGISTRY_STAGGER: Duration = 150.milliseconds
 
         /** How long callers may keep an address; short, since a leaving instance waits for all that keep it three times as long. */
-        val ADDRESS_LIFETIME: Duration = 2.seconds
+        val ADDRESS_LIFETIME: Duration = 1.seconds
 
         /** Some callers keep an address for three lifetimes. */
         const val KEPT_LIFETIMES = 3
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -17,7 +17,6 @@
 import org.cactuspulley.core.quarantine.CrashRegister
 import org.cactuspulley.core.requests.RetryBudget
 import org.cactuspulley.runtime.settings.FleetBounds
-import kotlin.time.Duration.Companion.seconds
 
 /** What one forwarding instance believes; confined to its event loop. */
 internal class ForwardingState(self: FleetMember, private val bounds: FleetBounds, private val startedAt: MonotonicTime) {
@@ -54,23 +53,31 @@
     }
 
     /** Puts [configuration] in force unless it is older; whether it did. */
-    fun configure(configuration: ForwardingConfiguration): Boolean {
+    fun configure(configuration: ForwardingConfiguration, now: MonotonicTime): Boolean {
         if (!gate.replace(configuration)) return false
         for ((name, allowance) in allowances) {
-            configuration.workspaces[name]?.let { allowance.reshape(limit(it)) }
+            configuration.workspaces[name]?.let { allowance.reshape(limit(it), now) }
         }
         allowances.keys.removeIf { name -> (configuration.workspaces[name]?.rate ?: 0.0) <= 0.0 }
         return true
     }
 
-    /** Within any window the rate and one burst may be used; the platform's tolerance is left for what instances have not heard of. */
-    private fun limit(workspace: WorkspaceDescription): AllowanceLimit =
-        AllowanceLimit(workspace.rate * bounds.rateWindowSeconds + workspace.burst, bounds.rateWindowSeconds.seconds)
+    /**
+     * Within any window the rate, one burst and the overshoot may be used. A bucket keeps that if its refill
+     * over a window and its depth together are no more; the slack is left for what instances have not heard of.
+     */
+    private fun limit(workspace: WorkspaceDescription): AllowanceLimit {
+        val perWindow = workspace.rate * bounds.rateWindowSeconds + workspace.burst
+        return AllowanceLimit(REFILL_SHARE * perWindow / bounds.rateWindowSeconds, (1 + bounds.rateOvershoot - REFILL_SHARE) * perWindow)
+    }
 
     private companion object {
         /** The part of the fleet's retry budget that is used; the rest covers windows that straddle a change of traffic. */
         const val BUDGET_MARGIN = 0.8
 
+        /** The part of a window's units that the refill gives; what is left is the depth, some large prompts at once. */
+        const val REFILL_SHARE = 0.9
+
         /** Instances of the largest first deployment; shares for fewer would exceed the whole when others join. */
         const val SMALL_FLEET = 8
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -107,7 +107,9 @@
     private fun order(action: RolloutAction.Order) {
         val target = instance.state.directory[action.target]
         if (target == null) return ordered(action, OrderAnswer.UNANSWERED)
-        control.order(target.entry, action.weights, InstanceId(self.holder), action.fence, action.ordersAccepted, action.runs) { ordered(action, it) }
+        control.order(target.entry, action.weights, InstanceId(self.holder), action.fence, action.ordersAccepted, action.runs) {
+            ordered(action, it)
+        }
     }
 
     private fun ordered(action: RolloutAction.Order, answer: OrderAnswer) {
