--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
@@ -11,6 +11,7 @@
  *
  * @property excluded targets that this request has already been sent to.
  * @property minimumWeights the oldest version of the model's weights on which the request may begin; null for any.
+ * @property isLastResort whether a target that is left out is better than none: the request would else be refused.
  * @property preferredWeights the version on which it should begin where targets with it have room; null for any.
  */
 public data class ChoiceRequest(
@@ -19,6 +20,7 @@
     val excluded: Set<TargetId>,
     val minimumWeights: Long?,
     val preferredWeights: Long?,
+    val isLastResort: Boolean = false,
 )
 
 /**
@@ -37,7 +39,8 @@
     public fun choose(request: ChoiceRequest, now: MonotonicTime): Target? {
         val able = directory.members(request.grant.pool).filter { isAble(it, request) }
         if (able.isEmpty()) return null
-        val sound = able.filterNot { it.health.isExcluded(now) }.ifEmpty { return null }
+        val sound = able.filterNot { it.health.isExcluded(now) }
+        if (sound.isEmpty()) return if (request.isLastResort) able.minBy { it.health.excludedUntil ?: now } else null
         val prompt = request.prompt ?: return leastLoaded(sound, now)
         val still = sound.filterNot { isLoading(it, now) }.ifEmpty { sound }
         return byAffinity(still, prompt, request.preferredWeights, now)
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetChoiceSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetChoiceSpec.kt
@@ -66,6 +66,16 @@
         }
     }
 
+    describe("the choice when every target is left out") {
+        it("is none while the request may wait, and the one that comes back first when it may not") {
+            val directory = directory(2)
+            directory.all.forEach { it.health.record(SendOutcome.UNREACHABLE, START) }
+            directory[TargetId("t-1")]?.health?.record(SendOutcome.UNREACHABLE, START)
+            choice(directory).choose(asked(7), START) shouldBe null
+            choice(directory).choose(asked(7).copy(isLastResort = true), START)?.id shouldBe TargetId("t-2")
+        }
+    }
+
     describe("the choice for a plain request") {
         val plain = ChoiceRequest(grant(), null, emptySet(), null, null)
 
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -209,19 +209,36 @@
             val target = TargetDirectory().apply { report(entry("t-1", weights = 4)) }[TargetId("t-1")] ?: error("no target")
             val planner = CachePlanner()
             val configuration = configuration(store = "10.9.9.9:1")
-            val open = planner.plan(configuration, grant(), prompt(), target)
-            open shouldBe CachePlan("model-a@4/", 4, "10.9.9.9:1")
-            val walled = planner.plan(configuration, grant(workspace = workspace("tenant-w", isolated = true)), prompt(), target)
+            val open = planner.plan(configuration, grant(), prompt(), target, START)
+            open shouldBe CachePlan("model-a@4/", 4, "10.9.9.9:1", saves = true)
+            val walled = planner.plan(configuration, grant(workspace = workspace("tenant-w", isolated = true)), prompt(), target, START)
             walled?.scope shouldBe "model-a@4/tenant-w"
         }
 
+        it("saves a subject once, whichever instance did, until the store may have forgotten it") {
+            val target = TargetDirectory().apply { report(entry("t-1")) }[TargetId("t-1")] ?: error("no target")
+            val planner = CachePlanner()
+            val peer = CachePlanner()
+            val configuration = configuration(store = "10.9.9.9:1")
+
+            fun CachePlanner.savesAt(now: MonotonicTime) = plan(configuration, grant(), prompt(), target, now)?.saves
+            planner.savesAt(START) shouldBe true
+            planner.savesAt(START + 1.seconds) shouldBe false
+            planner.takeUntold().forEach { peer.saved(it, START) }
+            peer.savesAt(START + 1.seconds) shouldBe false
+            peer.savesAt(START + 16.seconds) shouldBe true
+            planner.storeAnswers("10.9.9.9:1", false)
+            planner.storeAnswers("10.9.9.9:1", true)
+            planner.savesAt(START + 2.seconds) shouldBe true
+        }
+
         it("does without a store that does not answer") {
             val target = TargetDirectory().apply { report(entry("t-1")) }[TargetId("t-1")] ?: error("no target")
             val planner = CachePlanner()
             planner.storeAnswers("10.9.9.9:1", false) shouldBe true
-            planner.plan(configuration(store = "10.9.9.9:1"), grant(), prompt(), target)?.store shouldBe null
+            planner.plan(configuration(store = "10.9.9.9:1"), grant(), prompt(), target, START)?.store shouldBe null
             planner.storeAnswers("10.9.9.9:1", true) shouldBe true
-            planner.plan(configuration(store = "10.9.9.9:1"), grant(), prompt(), target)?.store shouldBe "10.9.9.9:1"
+            planner.plan(configuration(store = "10.9.9.9:1"), grant(), prompt(), target, START)?.store shouldBe "10.9.9.9:1"
         }
     }
 })
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -33,6 +33,7 @@
     val loading: List<String> = emptyList(),
     val work: List<TargetWork> = emptyList(),
     val shownWeights: List<ShownWeights> = emptyList(),
+    val saved: List<SavedSubject> = emptyList(),
     val crashes: List<CrashNotice> = emptyList(),
     val relays: List<Relay> = emptyList(),
 )
@@ -41,6 +42,10 @@
 @Serializable
 internal data class WorkspaceUse(val workspace: String, val total: Double, val perSecond: Double, val available: Double)
 
+/** Shared pieces that the instance had a target send to the store. */
+@Serializable
+internal data class SavedSubject(val scope: String, val affinity: Long)
+
 /** The work that the instance has at a target. */
 @Serializable
 internal data class TargetWork(val target: String, val units: Double)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -123,9 +123,10 @@
         val minimum = model?.let { state.weights.minimum(it, OLD_WEIGHTS_PATIENCE, now) }
         val preferred = model?.let { state.weights.newest(it) }?.takeIf { now - it.namedAt > OLD_WEIGHTS_FREE }?.version
         val wanted = ChoiceRequest(grant, request.prompt, progress.excluded, minimum, preferred)
-        val target = state.choice.choose(wanted, now)
+        val mustEnd = now >= progress.waitsUntil
+        val target = state.choice.choose(wanted.copy(isLastResort = mustEnd), now)
         if (target == null) {
-            if (now >= progress.waitsUntil) return giveUp(progress.noTarget())
+            if (mustEnd) return giveUp(progress.noTarget())
             instance.schedule(LOOK_AGAIN) { sendSomewhere() }
             return
         }
@@ -260,7 +261,7 @@
                 target = target.entry,
                 bodyBytes = body.size,
                 remaining = request.deadline?.minus(now)?.coerceAtMost(progress.deadline - now),
-                cache = request.prompt?.let { prompt -> state.gate.configuration?.let { state.cache.plan(it, grant, prompt, target) } },
+                cache = request.prompt?.let { prompt -> state.gate.configuration?.let { state.cache.plan(it, grant, prompt, target, now) } },
                 lastEventId = lastEventId,
             )
             connection.write(instance.targetProtocol.request(message))
