--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
@@ -51,7 +51,13 @@
     ): List<String> = configuration.pools.values.mapNotNull { it.cacheStore?.address }
 
     /** How a request with [prompt] uses cached pieces at [target]; null if the target does not tell its weights. */
-    public fun plan(configuration: ForwardingConfiguration, grant: ForwardingGrant, prompt: PromptDescription, target: Target, now: MonotonicTime): CachePlan? {
+    public fun plan(
+        configuration: ForwardingConfiguration,
+        grant: ForwardingGrant,
+        prompt: PromptDescription,
+        target: Target,
+        now: MonotonicTime,
+    ): CachePlan? {
         val weights = target.weights(prompt.model) ?: return null
         val wall = grant.workspace?.takeIf { it.isIsolated }?.name?.text.orEmpty()
         val near = configuration.pools.values.mapNotNull { it.cacheStore }.filter { it.address !in unreachable }
--- a/daemon/src/main/kotlin/org/cactuspulley/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/cactuspulley/daemon/Main.kt
@@ -24,6 +24,7 @@
             GenerateTraceCommand(),
             ReplayCommand(),
             TimelineCommand(),
+            ExplainCommand(),
             MeasureCapacityCommand(),
         )
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -261,7 +261,9 @@
                 target = target.entry,
                 bodyBytes = body.size,
                 remaining = request.deadline?.minus(now)?.coerceAtMost(progress.deadline - now),
-                cache = request.prompt?.let { prompt -> state.gate.configuration?.let { state.cache.plan(it, grant, prompt, target, now) } },
+                cache = request.prompt?.let { prompt ->
+                    state.gate.configuration?.let { state.cache.plan(it, grant, prompt, target, now) }
+                },
                 lastEventId = lastEventId,
             )
             connection.write(instance.targetProtocol.request(message))
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -279,7 +279,7 @@
                     announcement.peerAddress,
                 ),
             )
-            digests.tellAll()
+            context.tellSoon()
             return true
         }
 
--- /dev/null
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/logging/DecisionStorySpec.kt
@@ -0,0 +1,39 @@
+package org.cactuspulley.runtime.logging
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+class DecisionStorySpec : DescribeSpec({
+    fun line(at: Long, event: String, vararg details: Pair<String, String>) =
+        """{"timestamp":$at,"level":"INFO","kvpList": [${details.joinToString(",") {
+            "{\"${it.first}\":\"${it.second}\"}"
+        }}],"message":"$event","throwable":null}"""
+
+    describe("a logged decision") {
+        it("is read with its details, also after a prefix") {
+            parseDecision("a", "  12.5 front " + line(5, "refused", "request" to "r-1", "cause" to "OVER_RATE")) shouldBe
+                LoggedDecision("a", 5, "refused", mapOf("request" to "r-1", "cause" to "OVER_RATE"))
+        }
+
+        it("is not made of other output") {
+            listOf("# SIGILL (0x4)", "", "{", "{}", "[1]", """{"message":"x"}""").forEach { parseDecision("a", it) shouldBe null }
+        }
+    }
+
+    describe("a request's story") {
+        it("holds its decisions in all processes and what these believed shortly before") {
+            val decisions = listOf(
+                "a" to line(1_000, "configuration", "version" to "1"),
+                "a" to line(8_000, "target_removed", "target" to "t-1"),
+                "b" to line(8_500, "target_removed", "target" to "t-1"),
+                "a" to line(9_000, "send_failed", "request" to "r-1"),
+                "a" to line(9_100, "refused", "request" to "r-1"),
+                "a" to line(9_050, "refused", "request" to "r-2"),
+                "a" to line(9_200, "ready"),
+                "c" to line(9_500, "delivered", "request" to "r-1"),
+            ).mapNotNull { (process, text) -> parseDecision(process, text) }
+            storyOf("r-1", decisions).map { "${it.process} ${it.event}" } shouldBe
+                listOf("a target_removed", "a send_failed", "a refused", "c delivered")
+        }
+    }
+})
