--- a/daemon/src/main/kotlin/org/cactuspulley/daemon/ExplainCommand.kt
+++ b/daemon/src/main/kotlin/org/cactuspulley/daemon/ExplainCommand.kt
@@ -24,7 +24,7 @@
         help = "Logs of processes, one file each",
     ).path(mustExist = true, canBeDir = false).multiple(required = true)
 
-    override fun help(context: Context): String = "Prints the decisions of all processes on one request, with what they had learnt shortly before."
+    override fun help(context: Context): String = "Prints what all processes decided on one request and had learnt shortly before."
 
     override fun run() {
         val story = storyOf(request, logs.flatMap(::decisionsIn))
