--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -140,7 +140,7 @@
 
     /** When [step] has something to do next; null if nothing is pending. */
     public val nextDeadline: MonotonicTime?
-        get() = work.values.mapNotNull { it.askAt }.fold(claimRetryAt as MonotonicTime?, ::earliest)
+        get() = work.values.mapNotNull { it.askAt }.fold(claimRetryAt, ::earliest)
 
     /** Takes note that a peer says it holds the claim with [peerFence]. */
     public fun peerHolds(peer: InstanceId, peerFence: Long) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/logging/DecisionStorySpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/logging/LoggedDecisionSpec.kt
@@ -3,7 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 
-class DecisionStorySpec : DescribeSpec({
+class LoggedDecisionSpec : DescribeSpec({
     fun line(at: Long, event: String, vararg details: Pair<String, String>) =
         """{"timestamp":$at,"level":"INFO","kvpList": [${details.joinToString(",") {
             "{\"${it.first}\":\"${it.second}\"}"
