--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
@@ -62,7 +62,6 @@
     val repeatability: Repeatability,
     val isStream: Boolean,
     val isAnonymous: Boolean,
-    val keepsPrompts: Boolean,
     val timeout: Duration,
     val latencyObjective: Duration,
     val maximumSends: Int,
@@ -76,8 +75,6 @@
 /** What all targets of a pool have in common. */
 public data class PoolDescription(
     val name: PoolName,
-    val maximumConnections: Int,
-    val slots: Int?,
     val models: Set<ModelName>,
     val cacheStore: CacheStoreDescription?,
 )
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ForwardingFixtures.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ForwardingFixtures.kt
@@ -28,7 +28,6 @@
     repeatability = repeatability,
     isStream = repeatability == Repeatability.RESUMABLE,
     isAnonymous = anonymous,
-    keepsPrompts = true,
     timeout = 6.seconds,
     latencyObjective = 800.milliseconds,
     maximumSends = sends,
@@ -57,8 +56,8 @@
     version = version,
     routes = routes,
     pools = listOf(
-        PoolDescription(POOL, 100, 8, setOf(MODEL), null),
-        PoolDescription(PoolName("memory"), 100, null, emptySet(), store?.let { CacheStoreDescription(it, ZoneName("zone-a")) }),
+        PoolDescription(POOL, setOf(MODEL), null),
+        PoolDescription(PoolName("memory"), emptySet(), store?.let { CacheStoreDescription(it, ZoneName("zone-a")) }),
     ).associateBy { it.name },
     workspaces = workspaces.associateBy { it.name },
     callerLimits = CallerLimits(16_384, 1_000_000, 3.seconds, 15.seconds),
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -77,7 +77,6 @@
     private var ended = false
     private var begun = false
     private var lastEventId: Long? = request.lastEventId
-    private var weightsAtStart: Long? = null
     private var deadlineTimer: Future<*>? = null
 
     /** Authorizes and sends the request. */
@@ -308,7 +307,7 @@
             signed()
             read.load?.let { target.health.sawLoad(ReportedLoad(it.running, it.waiting, it.slots, lastSignAt)) }
             if (model != null && read.weights != null && !read.notRun) target.sawWeights(model, read.weights)
-            if (grant.route.isStream && read.status in SUCCESS && read.isSigned) beginStream(response, read)
+            if (grant.route.isStream && read.status in SUCCESS && read.isSigned) beginStream(response)
             return true
         }
 
@@ -317,12 +316,11 @@
             target.lastSign = lastSignAt
         }
 
-        private fun beginStream(response: HttpResponse, read: TargetAnswerHead) {
+        private fun beginStream(response: HttpResponse) {
             events = EventBoundary(instance.allocator)
             silenceTimer?.cancel(false)
             if (grant.route.repeatability == Repeatability.RESUMABLE) awaitSign(STREAM_PAUSE)
             if (begun) return
-            weightsAtStart = read.weights
             begun = true
             caller.begin(instance.targetProtocol.callerHead(response))
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/logging/Logging.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/logging/Logging.kt
@@ -1,6 +1,6 @@
 /*
  * Sets up the process's log lines: text for people or one JSON object a line for machines, on
- * standard error.
+ * standard error, or on standard output where they tell decisions on requests.
  */
 package org.cactuspulley.runtime.logging
 
@@ -10,6 +10,7 @@
 import ch.qos.logback.classic.encoder.JsonEncoder
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder
 import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.Appender
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.encoder.Encoder
 import org.cactuspulley.runtime.settings.LogFormat
@@ -17,21 +18,38 @@
 import org.slf4j.LoggerFactory
 
 /** Writes log lines of [level] and above to standard error as [format] from now on. */
-public fun configureLogging(format: LogFormat, level: Level = Level.INFO) {
-    val context = LoggerFactory.getILoggerFactory() as LoggerContext
-    context.reset()
-    val appender = ConsoleAppender<ILoggingEvent>().apply {
-        this.context = context
-        target = "System.err"
-        encoder = encoderFor(format, context)
+public fun configureLogging(format: LogFormat, level: Level = Level.INFO): Unit = install(level) { console("System.err", format, it) }
+
+/**
+ * Writes decisions as lines of [format] to standard output from now on. Lines wait in a bounded queue;
+ * while it is full they are dropped rather than hold up traffic.
+ */
+public fun configureDecisionLogging(format: LogFormat, level: Level = Level.INFO): Unit = install(level) { loggers ->
+    AsyncAppender().apply {
+        context = loggers
+        queueSize = DECISION_QUEUE
+        isNeverBlock = true
+        addAppender(console("System.out", format, loggers))
         start()
     }
+}
+
+private fun install(level: Level, appender: (LoggerContext) -> Appender<ILoggingEvent>) {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
     context.getLogger(Logger.ROOT_LOGGER_NAME).apply {
         this.level = level
-        addAppender(appender)
+        addAppender(appender(context))
     }
 }
 
+private fun console(stream: String, format: LogFormat, loggers: LoggerContext) = ConsoleAppender<ILoggingEvent>().apply {
+    context = loggers
+    target = stream
+    encoder = encoderFor(format, loggers)
+    start()
+}
+
 private fun encoderFor(format: LogFormat, context: LoggerContext): Encoder<ILoggingEvent> = when (format) {
     LogFormat.TEXT -> PatternLayoutEncoder().apply {
         this.context = context
@@ -52,31 +70,5 @@
     }
 }
 
-/**
- * Writes decisions as lines of [format] to standard output from now on. Lines wait in a bounded queue;
- * while it is full they are dropped rather than hold up traffic.
- */
-public fun configureDecisionLogging(format: LogFormat, level: Level = Level.INFO) {
-    val context = LoggerFactory.getILoggerFactory() as LoggerContext
-    context.reset()
-    val output = ConsoleAppender<ILoggingEvent>().apply {
-        this.context = context
-        target = "System.out"
-        encoder = encoderFor(format, context)
-        start()
-    }
-    val queue = AsyncAppender().apply {
-        this.context = context
-        queueSize = DECISION_QUEUE
-        isNeverBlock = true
-        addAppender(output)
-        start()
-    }
-    context.getLogger(Logger.ROOT_LOGGER_NAME).apply {
-        this.level = level
-        addAppender(queue)
-    }
-}
-
 /** Lines that may wait to be written: some seconds of a busy instance. */
 private const val DECISION_QUEUE = 2_048
