Forget requests that were refused early, and keep the charge of those that may run

Cause, found by reading: an early refusal left its exchange on the list of running ones, which grew for ever and held a stop up until its deadline of 7.5 s; at its deadline a request that had been sent gave its units back, although it may run. ForwardingSpec's new case failed first (not ended after 10 s) and passes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -109,7 +109,7 @@
     }
 
     private fun refuseEarly(refusal: ForwardingRefusal, comeBackAfter: Duration) {
-        ended = true
+        finish()
         val inForce = state.gate.configuration?.version
         log.refused(request, refusal, inForce, sends = 0, waited = Duration.ZERO)
         caller.refuse(refusal, comeBackAfter)
@@ -177,6 +177,8 @@
         val outstanding = send
         val sent = outstanding?.isWritten == true
         outstanding?.cancel(SendOutcome.SILENT.takeIf { sent && !outstanding.hasAnswered && isLate() })
+        // What was sent may run: it keeps what it was charged.
+        if (sent) charged = 0.0
         giveUp(progress.timeIsOver(sent))
     }
 
