Wait the whole patience for each sign of a stream

Cause, found by reading: after each look the patience shrank to what had been left of it, so that a resumable stream whose events come a second apart was cut after 3.8 s as silent. ForwardingSpec's case failed first and passes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -284,12 +284,12 @@
             instance.tellSoon()
         }
 
-        private fun awaitSign(patience: Duration) {
-            silenceTimer = instance.schedule(patience) {
+        private fun awaitSign(patience: Duration, delay: Duration = patience) {
+            silenceTimer = instance.schedule(delay) {
                 if (over) return@schedule
                 val now = instance.clock.now()
                 val quiet = now - maxOf(lastSignAt, signOfOthers() ?: lastSignAt)
-                if (quiet < patience) return@schedule awaitSign(patience - quiet + TIMER_SLACK)
+                if (quiet < patience) return@schedule awaitSign(patience, patience - quiet + TIMER_SLACK)
                 cancel(null)
                 failed(target, SendFailure.SILENT, "no sign for $quiet")
             }
