--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -35,14 +35,9 @@
     public fun announced(member: FleetMember) {
         if (member.id == self.id) return
         val known = peers[member.id]
-        if (known ==
-            null
-        ) {
-            peers[member.id] = Peer(member, null, false)
-        } else if (known.member.incarnation <=
-            member.incarnation
-        ) {
-            known.member = member
+        when {
+            known == null -> peers[member.id] = Peer(member, null, false)
+            known.member.incarnation <= member.incarnation -> known.member = member
         }
     }
 
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetChoice.kt
@@ -3,7 +3,7 @@
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.ZoneName
-import org.cactuspulley.core.model.rendezvousWeight
+import org.cactuspulley.core.model.rendezvousRank
 import kotlin.random.Random
 
 /**
@@ -59,10 +59,7 @@
         val affinity = prompt.affinity ?: return candidates.minBy { it.load.total(now) }
         val loads = candidates.associateWith { it.load.total(now) }
         val bound = BOUND_BASE + BOUND_FACTOR * loads.values.sum() / candidates.size
-        val ranked = candidates.sortedByDescending { rendezvousWeight(affinity.toString(), it.id.text) }.filter {
-            loads.getValue(it) <=
-                bound
-        }
+        val ranked = rendezvousRank(affinity.toString(), candidates) { it.id.text }.filter { loads.getValue(it) <= bound }
         val current = ranked.firstOrNull { preferred == null || (it.weights(prompt.model) ?: 0) >= preferred }
         return current ?: ranked.firstOrNull() ?: candidates.minBy { loads.getValue(it) }
     }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -115,7 +115,6 @@
     private class Work(val target: TargetId, val model: ModelName) {
         var askAt: MonotonicTime? = null
         var emptiesUntil: MonotonicTime? = null
-        var isWaiting = false
         var orderedVersion = 0L
         var orderedAt: MonotonicTime? = null
     }
@@ -169,7 +168,6 @@
                 item.askAt = minOf(now + LOOK_PERIOD, item.emptiesUntil ?: now)
                 continue
             }
-            item.isWaiting = true
             item.askAt = now + ANSWER_PATIENCE
             actions += RolloutAction.AskReport(item.target)
         }
@@ -227,14 +225,8 @@
         for (weights in named.all) {
             val pools = outdated(weights).groupBy { it.entry.pool }
             for ((pool, targets) in pools) {
-                beginIn(
-                    directory.members(pool).filter {
-                        weights.model in it.entry.weights
-                    },
-                    targets,
-                    weights,
-                    now,
-                )
+                val members = directory.members(pool).filter { weights.model in it.entry.weights }
+                beginIn(members, targets, weights, now)
             }
         }
     }
@@ -253,7 +245,6 @@
     /** Takes a target's report; null if it gave none. */
     public fun reported(target: TargetId, report: TargetReport?, now: MonotonicTime): List<RolloutAction> {
         val item = work[target] ?: return emptyList()
-        item.isWaiting = false
         val held = fence
         if (report == null || held == null) {
             item.askAt = now + REPORT_RETRY
@@ -269,7 +260,6 @@
         if (report.isBusy || weights == null) return emptyList()
         item.orderedVersion = weights.version
         item.orderedAt = now
-        item.isWaiting = true
         item.askAt = now + ANSWER_PATIENCE
         val runs = if (report.running + report.waiting <= 0) RunsDuringLoad.FINISH else RunsDuringLoad.GO_ON
         return listOf(RolloutAction.Order(target, weights, held, report.ordersAccepted, runs))
@@ -278,7 +268,6 @@
     /** Takes the answer to an order. */
     public fun ordered(target: TargetId, answer: OrderAnswer, now: MonotonicTime) {
         val item = work[target] ?: return
-        item.isWaiting = false
         when (answer) {
             OrderAnswer.ACCEPTED -> item.askAt = now + FIRST_REPORT
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/HeaderFilter.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/HeaderFilter.kt
@@ -41,13 +41,16 @@
 /** The headers of a target's answer that a caller may see. */
 internal fun headersForCaller(headers: HttpHeaders): HttpHeaders = filtered(headers) { _, _ -> true }
 
-private fun filtered(headers: HttpHeaders, passes: (name: String, value: String) -> Boolean): HttpHeaders {
+private fun filtered(headers: HttpHeaders, passes: (name: String, value: String) -> Boolean): HttpHeaders =
+    endToEndHeaders(headers) { name, value -> name !in INTERNAL && passes(name, value) }
+
+/** The headers that concern more than one connection and that [passes] lets through; it gets names in lower case. */
+public fun endToEndHeaders(headers: HttpHeaders, passes: (name: String, value: String) -> Boolean): HttpHeaders {
     val connectionNames = headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim().lowercase() }
     val kept = DefaultHttpHeaders()
     for ((name, value) in headers) {
         val lowerCase = name.lowercase()
-        if (lowerCase in HOP_BY_HOP || lowerCase in INTERNAL || lowerCase in connectionNames) continue
-        if (passes(lowerCase, value)) kept.add(name, value)
+        if (lowerCase !in HOP_BY_HOP && lowerCase !in connectionNames && passes(lowerCase, value)) kept.add(name, value)
     }
     return kept
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -26,7 +27,7 @@
     private val connections = LinkedHashSet<CallerConnectionHandler>()
 
     /** Whether the instance is leaving: answers then end their connections. */
-    var isLeaving = false
+    val isLeaving: Boolean get() = instance.stoppingSince != null
 
     /** What callers may send; from the configuration in force. */
     val limits: CallerLimits get() = instance.state.gate.configuration?.callerLimits ?: UNCONFIGURED_LIMITS
@@ -90,7 +91,7 @@
         val keeps = HttpUtil.isKeepAlive(request)
         if (!keeps) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         val written = context.writeAndFlush(response)
-        if (!keeps) written.addListener(io.netty.channel.ChannelFutureListener.CLOSE)
+        if (!keeps) written.addListener(ChannelFutureListener.CLOSE)
     }
 
     @Deprecated("Overrides a Netty method that is not otherwise replaced.")
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/EventBoundary.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/EventBoundary.kt
@@ -39,9 +39,6 @@
         return whole
     }
 
-    /** Gives what is held back; the stream has ended as a whole. The caller owns the result. */
-    fun rest(): ByteBuf? = partial.takeIf { it.isReadable }.also { partial = Unpooled.EMPTY_BUFFER }
-
     /** Forgets what is held back. */
     fun release() {
         partial.release()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -27,7 +27,6 @@
 import org.cactuspulley.core.quarantine.QuarantineVerdict
 import org.cactuspulley.runtime.platform.HostAndPort
 import java.util.concurrent.Future
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -451,8 +450,6 @@
             instance.noteCrash(CrashNotice(mark, attemptId, CRASH_LIFETIME.inWholeMilliseconds))
         }
 
-        override fun onWritable() = Unit
-
         fun pause(paused: Boolean) {
             channel?.config()?.isAutoRead = !paused
         }
@@ -513,7 +510,3 @@
         val CRASH_LIFETIME = 60_000.milliseconds
     }
 }
-
-/** Runs [action] after [delay] on the event loop. */
-internal fun ForwardingContext.schedule(delay: Duration, action: () -> Unit): Future<*> =
-    loop.schedule(action, delay.inWholeMicroseconds.coerceAtLeast(0), TimeUnit.MICROSECONDS)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -10,6 +10,9 @@
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.quarantine.CrashNotice
 import org.cactuspulley.runtime.control.MonotonicClock
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What exchanges share; confined to [loop]. */
@@ -51,6 +54,10 @@
         }
     }
 
+    /** Runs [action] after [delay] on the event loop. */
+    fun schedule(delay: Duration, action: () -> Unit): Future<*> =
+        loop.schedule(action, delay.inWholeMicroseconds.coerceAtLeast(0), TimeUnit.MICROSECONDS)
+
     /** Hashes what makes requests of one caller alike. */
     fun hash(path: String, body: ByteArray): Long =
         HASHER.hashStream().putString(path).putByteArray(body).asLong
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -182,7 +182,6 @@
             if (context.stoppingSince != null) return@execute
             context.stoppingSince = clock.now()
             log.belief("stopping", "exchanges" to context.exchanges.size)
-            listener.isLeaving = true
             updateReadiness()
         }
         return stopped
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -2,9 +2,8 @@
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
+import org.cactuspulley.runtime.metrics.text
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -16,7 +15,6 @@
     private val refusals = counter("cactuspulley_refusals_total", "Requests that got no answer of a target", "cause")
     private val failures = counter("cactuspulley_failed_sends_total", "Sends that ended without a deliverable answer", "cause")
     private val beliefs = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
-    private val storeCalls = counter("cactuspulley_store_calls_total", "Calls of the platform's log", "call", "outcome")
 
     fun delivered(pool: String, took: Duration) = answers.labelValues(pool).observe(took.toDouble(DurationUnit.SECONDS))
 
@@ -26,14 +24,8 @@
 
     fun belief(event: String) = beliefs.labelValues(event).inc()
 
-    fun storeCall(call: String, outcome: String) = storeCalls.labelValues(call, outcome).inc()
-
     /** All metrics in Prometheus's text format. */
-    fun text(): ByteArray {
-        val output = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.create().write(output, registry.scrape())
-        return output.toByteArray()
-    }
+    fun text(): ByteArray = registry.text()
 
     private fun counter(name: String, help: String, vararg labels: String): Counter =
         Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -128,8 +128,8 @@
 
     private companion object {
         const val CLAIM_KEY = "weights"
+
+        /** How long requests avoid a target that is emptied or loads, unless it shows its weights earlier; renewed while that lasts. */
+        val LOADING_HINT: Duration = 1.seconds
     }
 }
-
-/** How long requests avoid a target that is emptied or loads, unless it shows its weights earlier; renewed while that lasts. */
-internal val LOADING_HINT: Duration = 1.seconds
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -1,10 +1,8 @@
 package org.cactuspulley.runtime.forwarding
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import org.cactuspulley.core.model.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -18,7 +16,7 @@
     fun returned()
 }
 
-/** Keeps a replica of one topic by reading it, by long reads where it [followsAlways], or whenever it is told to. */
+/** Keeps a replica of one topic by reading it, by long reads where [longRead] says how long one waits, or whenever it is told to. */
 internal class StoreFollower(
     private val instance: ForwardingContext,
     private val store: RecordStore,
@@ -28,9 +26,7 @@
 ) {
     val replica = TopicReplica()
 
-    /** Since when the store has not answered; null while it does. */
-    var failingSince: MonotonicTime? = null
-        private set
+    private var isFailing = false
     private var isReading = false
 
     /** Called after each read that was answered, with what changed since [from]. */
@@ -68,17 +64,17 @@
         isReading = false
         result.fold(
             success = { batch ->
-                if (failingSince != null) {
+                if (isFailing) {
                     instance.log.belief("store_answers", "topic" to topic.name)
-                    failingSince = null
+                    isFailing = false
                     listener.returned()
                 }
                 use(batch)
                 if (longRead != null) read()
             },
             failure = { failure ->
-                if (failingSince == null) {
-                    failingSince = instance.clock.now()
+                if (!isFailing) {
+                    isFailing = true
                     instance.log.belief("store_fails", "topic" to topic.name, "cause" to failure.toString())
                 }
                 if (longRead != null || replica.next == null) instance.schedule(RETRY) { read() }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetAnswerHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetAnswerHandler.kt
@@ -22,9 +22,6 @@
 
     /** The connection ended or spoke nonsense before the answer was whole. */
     fun onBroken(reason: String)
-
-    /** The connection can take more, or no more. */
-    fun onWritable()
 }
 
 /** Leads what arrives on one connection to the send that uses it; bytes that nobody waits for end the connection. */
@@ -80,10 +77,6 @@
         fail(context, broken ?: "connection closed")
     }
 
-    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        listener?.onWritable()
-    }
-
     @Deprecated("Overrides a Netty method that is not otherwise replaced.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         broken = cause.message ?: cause.javaClass.simpleName
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/metrics/RouterMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/metrics/RouterMetrics.kt
@@ -31,14 +31,17 @@
     }
 
     /** All metrics in Prometheus's text format. */
-    public fun text(): ByteArray {
-        val output = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.create().write(output, registry.scrape())
-        return output.toByteArray()
-    }
+    public fun text(): ByteArray = registry.text()
 
     public companion object {
         /** The media type of [text]. */
         public const val CONTENT_TYPE: String = PrometheusTextFormatWriter.CONTENT_TYPE
     }
 }
+
+/** All metrics of this registry in Prometheus's text format. */
+internal fun PrometheusRegistry.text(): ByteArray {
+    val output = ByteArrayOutputStream()
+    PrometheusTextFormatWriter.create().write(output, scrape())
+    return output.toByteArray()
+}
