Log the weights that a request was sent for

Cause: a start on replaced weights looks the same in the logs whether the request waited at its target or the instance learned late of the version. Change: the lines delivered and send_failed name the version that the target had to have.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -15,10 +15,14 @@
 
 /** Logs each decision about a request and each state change of the instance as one structured line, and counts them in the metrics. */
 internal class DecisionLog(private val metrics: ForwardingMetrics) {
-    /** Records that a response of [target] was passed on completely, after [sentAttempts] attempts and a total time of [duration]. */
+    /**
+     * Records that a response of [target], which had [weights] when the request was sent, was passed on completely, after
+     * [sentAttempts] attempts and a total time of [duration].
+     */
     fun delivered(
         request: ForwardedRequest,
         target: TargetId,
+        weights: Long?,
         grant: ForwardingGrant,
         status: Int,
         sentAttempts: Int,
@@ -30,6 +34,7 @@
             "delivered",
             "request" to request.id.text,
             "target" to target.text,
+            "weights" to weights,
             "route" to grant.route.name.text,
             "workspace" to grant.workspace?.name?.text,
             "status" to status,
@@ -68,10 +73,17 @@
         )
     }
 
-    /** Records an attempt that ended without a usable response. */
-    fun attemptFailed(request: ForwardedRequest, target: TargetId, failure: SendFailure, reason: String) {
+    /** Records an attempt that ended without a usable response, at a [target] that had [weights] when the request was sent. */
+    fun attemptFailed(request: ForwardedRequest, target: TargetId, weights: Long?, failure: SendFailure, reason: String) {
         metrics.attemptFailed(failure.name)
-        write("send_failed", "request" to request.id.text, "target" to target.text, "cause" to failure.name, "reason" to reason)
+        write(
+            "send_failed",
+            "request" to request.id.text,
+            "target" to target.text,
+            "weights" to weights,
+            "cause" to failure.name,
+            "reason" to reason,
+        )
     }
 
     /** Records a response to another request, [otherRequest], which was discarded. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -113,6 +113,9 @@
     /** Identifies the attempt. */
     val id = AttemptId("${request.id.text}#${progress.sentAttempts}")
 
+    /** The version of the weights that the target must have; null if the request was not sent or has no prompt. */
+    val expectedWeights: Long? get() = cachePlan?.expectedWeights
+
     /** Whether the request has been written to a connection. */
     val isWritten: Boolean get() = channel != null
 
