--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -115,6 +115,18 @@
             simulation.orders shouldHaveSize 1
         }
 
+        // Guards against targets that keep replaced weights past the limit because each new holder of the claim drains them anew.
+        it("orders all targets within eight seconds of the naming if the claim is granted after almost seven, although all are busy") {
+            val simulation = RolloutSimulation(13)
+            simulation.directory.all.forEach { it.load.add(1.0) }
+            simulation.desired.record(MODEL, 2, START)
+            simulation.claimAnswer = ClaimAnswer.Unknown
+            simulation.run(6.9.seconds)
+            simulation.claimAnswer = ClaimAnswer.Granted(3)
+            simulation.run(1.1.seconds)
+            simulation.orders.map { it.target }.toSet() shouldHaveSize 13
+        }
+
         it("repeats an order that was lost") {
             val simulation = RolloutSimulation(1)
             simulation.orderAnswer = OrderAnswer.UNANSWERED
