Stop draining targets for new weights when the limit for older ones approaches

Cause: each holder of the claim drained each half of the targets anew, 0.8 s and 1.5 s from the moment at which it began, also after a takeover 6.9 s after the naming. Evidence: two holders stood still one after the other; the last six orders went out 8.39 s after version 3 was acknowledged. Change: targets are drained until a deadline that is counted from the naming: the limit for starts on older weights less the lease and one second, so that yet another instance can take over. The limit is a bound in the settings, which the platform provides. A rollout that begins in time is unchanged: its second half is drained until 3.1 s after the naming, the new deadline is 4 s.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -126,7 +126,20 @@
      * settings of the platform.
      */
     val lease: Duration = 3_000.milliseconds,
-)
+    /** How long after newer weights were named a request may still begin on older ones. */
+    val startLimit: Duration = 8_000.milliseconds,
+) {
+    /**
+     * How long after newer weights were named targets may still be drained for them. It leaves time for another instance to take
+     * the claim over and to update all targets before [startLimit].
+     */
+    val drainLimit: Duration get() = (startLimit - lease - UPDATE_TIME).coerceAtLeast(Duration.ZERO)
+
+    private companion object {
+        /** The time in which two halves of a pool load weights one after the other without being drained. */
+        val UPDATE_TIME = 1_000.milliseconds
+    }
+}
 
 /** Decides what a rollout does next; it performs no input or output itself. */
 public class WeightRollout(
@@ -258,10 +271,11 @@
     private fun startPoolUpdates(members: List<Target>, targets: List<Target>, weights: DesiredWeights, now: MonotonicTime) {
         val capacity = ceil(members.size * settings.maxConcurrentFraction).toInt().coerceAtLeast(1) - members.count { it.id in updates }
         val isFirstBatch = targets.size == members.size
+        val drainUntil = minOf(now + if (isFirstBatch) FIRST_DRAIN_TIME else DRAIN_TIME, weights.learnedAt + settings.drainLimit)
         targets.filter { it.id !in updates }.sortedBy { it.load.total(now) }.take(capacity.coerceAtLeast(0)).forEach { target ->
             updates[target.id] = TargetUpdate(target.id, weights.model).apply {
-                drainDeadline = now + if (isFirstBatch) FIRST_DRAIN_TIME else DRAIN_TIME
-                nextReportAt = if (target.load.total(now) == 0.0) now else now + DRAIN_CHECK_INTERVAL
+                drainDeadline = drainUntil
+                nextReportAt = if (target.load.total(now) == 0.0) now else minOf(now + DRAIN_CHECK_INTERVAL, maxOf(now, drainUntil))
             }
         }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -93,7 +93,10 @@
         state.directory,
         state.desiredWeights,
         state.fleet,
-        RolloutSettings(lease = settings.bounds.leaseMillis.milliseconds),
+        RolloutSettings(
+            lease = settings.bounds.leaseMillis.milliseconds,
+            startLimit = settings.bounds.startLimitMillis.milliseconds,
+        ),
     )
     private val rolloutDriver: RolloutDriver =
         RolloutDriver(context, ClaimRecord(self.id.text, incarnation), rollout, ports.store, ports.control) { digests.sendDigests() }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -41,6 +41,7 @@
  * @property rateOvershoot the fraction by which a rate limit may be exceeded within the window.
  * @property rateSlackTokens the number of tokens by which a rate limit may be exceeded in addition to [rateOvershoot].
  * @property leaseMillis how long the claim to issue orders remains valid after its holder fails, in milliseconds.
+ * @property startLimitMillis how long after newer weights were named a request may still begin on older ones, in milliseconds.
  */
 @Serializable
 public data class FleetBounds(
@@ -50,6 +51,7 @@
     @SerialName("rate_overshoot") @Serializable(LenientDoubleSerializer::class) val rateOvershoot: Double = 0.1,
     @SerialName("rate_slack_tokens") @Serializable(LenientDoubleSerializer::class) val rateSlackTokens: Double = 0.0,
     @SerialName("lease_millis") val leaseMillis: Long = 3_000,
+    @SerialName("start_limit_millis") @Serializable(LenientDoubleSerializer::class) val startLimitMillis: Double = 8_000.0,
 )
 
 /** Returns the first invalid value of [settings], which were read from [file], or null if all values are valid. */
@@ -72,6 +74,7 @@
         Triple("bounds.rate_overshoot", bounds.rateOvershoot, 0.0..1.0),
         Triple("bounds.rate_slack_tokens", bounds.rateSlackTokens, 0.0..1e12),
         Triple("bounds.lease_millis", bounds.leaseMillis.toDouble(), 1.0..600_000.0),
+        Triple("bounds.start_limit_millis", bounds.startLimitMillis, 1.0..600_000.0),
     )
     ranges.firstOrNull { (_, value, allowed) -> value !in allowed }?.let { (key, value, allowed) ->
         return SettingsError.ValueNotAllowed(file, key, value.toString(), "${allowed.start} to ${allowed.endInclusive}")
