Count the age of named weights from the naming, not from when an instance learned of it

Cause: the limits for older weights counted from the moment at which an instance read the record. Change: digests tell the age of versions named in the last 28 s, and the earliest time counts; a version found in the first read after a start is taken to be 5 s old until 3 s after the start, when the instance is held to the limit. The tracker moved to its own file and no longer drops a version that another limit still needs.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -13,45 +13,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/**
- * The version that the weights of a model should have.
- *
- * @property learnedAt the time at which this instance learned of the version.
- */
-public data class DesiredWeights(val model: ModelName, val version: Long, val learnedAt: MonotonicTime)
-
-/** Tracks the newest desired version of each model. */
-public class DesiredWeightsTracker {
-    private val newest = HashMap<ModelName, DesiredWeights>()
-    private val history = HashMap<ModelName, ArrayDeque<DesiredWeights>>()
-
-    /** Records that [version] of [model] is desired; returns whether it is newer than all before. */
-    public fun record(model: ModelName, version: Long, now: MonotonicTime): Boolean {
-        val known = newest[model]
-        if (known != null && version <= known.version) return false
-        val added = DesiredWeights(model, version, now)
-        newest[model] = added
-        history.getOrPut(model) { ArrayDeque() }.addLast(added)
-        return true
-    }
-
-    /** Returns the newest desired version of [model], or null if none is known. */
-    public fun newest(model: ModelName): DesiredWeights? = newest[model]
-
-    /** The newest desired versions of all models. */
-    public val all: Collection<DesiredWeights> get() = newest.values
-
-    /**
-     * Returns the oldest version on which a request to [model] may begin at [now]: the newest one that was learned at
-     * least [gracePeriod] ago; null if there is none.
-     */
-    public fun minimum(model: ModelName, gracePeriod: Duration, now: MonotonicTime): Long? {
-        val versions = history[model] ?: return null
-        while (versions.size > 1 && versions[1].learnedAt + gracePeriod <= now) versions.removeFirst()
-        return versions.first().takeIf { it.learnedAt + gracePeriod <= now }?.version
-    }
-}
-
 /**
  * A target's report on its weights and orders.
  *
@@ -271,7 +232,7 @@
     private fun startPoolUpdates(members: List<Target>, targets: List<Target>, weights: DesiredWeights, now: MonotonicTime) {
         val capacity = ceil(members.size * settings.maxConcurrentFraction).toInt().coerceAtLeast(1) - members.count { it.id in updates }
         val isFirstBatch = targets.size == members.size
-        val drainUntil = minOf(now + if (isFirstBatch) FIRST_DRAIN_TIME else DRAIN_TIME, weights.learnedAt + settings.drainLimit)
+        val drainUntil = minOf(now + if (isFirstBatch) FIRST_DRAIN_TIME else DRAIN_TIME, weights.namedAt + settings.drainLimit)
         targets.filter { it.id !in updates }.sortedBy { it.load.total(now) }.take(capacity.coerceAtLeast(0)).forEach { target ->
             updates[target.id] = TargetUpdate(target.id, weights.model).apply {
                 drainDeadline = drainUntil
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightsLimits.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightsLimits.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * How long requests may use older weights, counted from the naming of newer ones.
@@ -21,7 +22,22 @@
     /** The time after which requests avoid targets with older weights while others have capacity. */
     public val preferenceLimit: Duration get() = minOf(PREFERENCE_LIMIT, sendLimit)
 
+    /**
+     * The age that is assumed for a version which an instance found named when it started. An instance is held to [startLimit] only
+     * some seconds after its start.
+     */
+    public val assumedAge: Duration get() = (startLimit - START_UP_PERIOD).coerceAtLeast(Duration.ZERO)
+
+    /** How long the age of a version is reported to peers, so that an instance that learns late of the version gets to know it. */
+    public val reportedAge: Duration get() = startLimit + LONGEST_LAG
+
     private companion object {
+        /** The longest time for which an instance is expected to stand still or to be cut off. */
+        val LONGEST_LAG = 20.seconds
+
+        /** The time after its start for which an instance counts as disturbed. */
+        val START_UP_PERIOD = 3_000.milliseconds
+
         /** The time that most requests wait at a target at most. */
         val SEND_MARGIN = 1_500.milliseconds
 
--- /dev/null
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/DesiredWeightsSpec.kt
@@ -0,0 +1,48 @@
+package org.cactuspulley.core.forwarding
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+class DesiredWeightsSpec : DescribeSpec({
+    describe("the minimum weights version for a request") {
+        it("is the newest version that was named at least the grace period ago") {
+            val desired = DesiredWeightsTracker()
+            desired.minimum(MODEL, 6.seconds, START) shouldBe null
+            desired.record(MODEL, 2, START)
+            desired.record(MODEL, 3, START + 2.seconds)
+            desired.minimum(MODEL, 6.seconds, START + 5.seconds) shouldBe null
+            desired.minimum(MODEL, 6.seconds, START + 6.seconds) shouldBe 2
+            desired.minimum(MODEL, 6.seconds, START + 8.seconds) shouldBe 3
+            desired.record(MODEL, 2, START + 9.seconds) shouldBe false
+        }
+
+        it("does not depend on the grace periods of earlier queries") {
+            val desired = DesiredWeightsTracker()
+            desired.record(MODEL, 2, START)
+            desired.record(MODEL, 3, START + 2.seconds)
+            desired.minimum(MODEL, 1.seconds, START + 8.seconds) shouldBe 3
+            desired.minimum(MODEL, 7.seconds, START + 8.seconds) shouldBe 2
+        }
+
+        it("counts from the earliest time that a peer reports, and ignores later times and unknown versions") {
+            val desired = DesiredWeightsTracker()
+            desired.record(MODEL, 2, START + 4.seconds)
+            desired.recordPeerAge(MODEL, 2, START)
+            desired.recordPeerAge(MODEL, 2, START + 1.seconds)
+            desired.recordPeerAge(MODEL, 3, START)
+            desired.minimum(MODEL, 6.seconds, START + 6.seconds) shouldBe 2
+            desired.newest(MODEL)?.version shouldBe 2
+        }
+    }
+
+    describe("the versions named recently") {
+        it("leave out versions whose age is assumed") {
+            val desired = DesiredWeightsTracker()
+            desired.record(MODEL, 2, START, isAgeKnown = false)
+            desired.record(MODEL, 3, START)
+            desired.namedWithin(5.seconds, START + 1.seconds).map { it.version } shouldBe listOf(3L)
+            desired.namedWithin(5.seconds, START + 5.seconds) shouldBe emptyList()
+        }
+    }
+})
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -183,17 +183,4 @@
             simulation.rollout.fencingToken shouldBe null
         }
     }
-
-    describe("the minimum weights version for a request") {
-        it("is the newest version that was learned at least the grace period ago") {
-            val desired = DesiredWeightsTracker()
-            desired.minimum(MODEL, 6.seconds, START) shouldBe null
-            desired.record(MODEL, 2, START)
-            desired.record(MODEL, 3, START + 2.seconds)
-            desired.minimum(MODEL, 6.seconds, START + 5.seconds) shouldBe null
-            desired.minimum(MODEL, 6.seconds, START + 6.seconds) shouldBe 2
-            desired.minimum(MODEL, 6.seconds, START + 8.seconds) shouldBe 3
-            desired.record(MODEL, 2, START + 9.seconds) shouldBe false
-        }
-    }
 })
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -213,6 +213,9 @@
             work = state.directory.all.filter { it.load.local > 0 }.map { TargetWork(it.id.text, it.load.local) },
             loading = rollout.loading.map { it.text },
             shownWeights = shownWeights(),
+            namedWeights = state.desiredWeights.namedWithin(state.weightsLimits.reportedAge, now).map {
+                NamedWeights(it.model.text, it.version, (now - it.namedAt).inWholeMilliseconds)
+            },
             failingStores = state.cache.unresponsiveStores,
             crashes = crashes.map { it.first },
         )
@@ -291,6 +294,9 @@
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
+        digest.namedWeights.forEach {
+            state.desiredWeights.recordPeerAge(ModelName(it.model), it.version, at - it.ageMillis.milliseconds)
+        }
         digest.shownWeights.forEach { state.directory[TargetId(it.target)]?.recordWeights(ModelName(it.model), it.version) }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -31,6 +31,7 @@
  * @property loading the ids of the targets that the instance has ordered to load weights.
  * @property work the load that the instance places on targets.
  * @property shownWeights the targets that the instance has seen with newer weights than they announced.
+ * @property namedWeights the versions of weights that were named recently.
  * @property saved the pieces that the instance had targets save to a cache store since its last regular digest.
  * @property failingStores the addresses of the cache stores that are unresponsive to the instance.
  * @property crashes the recent crash notices of the instance.
@@ -54,6 +55,7 @@
     val loading: List<String> = emptyList(),
     val work: List<TargetWork> = emptyList(),
     val shownWeights: List<ObservedWeights> = emptyList(),
+    val namedWeights: List<NamedWeights> = emptyList(),
     val saved: List<EncodedSaveNotice> = emptyList(),
     val failingStores: Set<String> = emptySet(),
     val crashes: List<CrashNotice> = emptyList(),
@@ -141,6 +143,12 @@
 @CborArray
 internal data class ObservedWeights(val target: String, val model: String, val version: Long)
 
+/** The [version] of a model's weights that was named [ageMillis] milliseconds ago. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class NamedWeights(val model: String, val version: Long, val ageMillis: Long)
+
 /** The [records] of [topic] that changed from offset [from] (null for the beginning) up to but excluding [next]. */
 @Serializable
 internal data class RelayedRange(val topic: StoreTopic, val from: Long?, val next: Long, val records: List<RelayedRecord>)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -119,7 +119,7 @@
         val model = request.prompt?.model
         val minimum = model?.let { state.desiredWeights.minimum(it, state.weightsLimits.sendLimit, now) }
         val newest = model?.let { state.desiredWeights.newest(it) }
-        val preferred = newest?.takeIf { now - it.learnedAt > state.weightsLimits.preferenceLimit }?.version
+        val preferred = newest?.takeIf { now - it.namedAt > state.weightsLimits.preferenceLimit }?.version
         val affinity = request.prompt?.let {
             state.cache.affinity(
                 grant,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -278,14 +278,27 @@
                     updateReadiness()
                 }
 
-                is OperatorChange.Weights -> state.desiredWeights.record(change.model, change.version, now).also { newer ->
-                    log.event("weights_named", "model" to change.model.text, "version" to change.version, "newest" to newer)
-                    rolloutDriver.advance()
-                }
+                is OperatorChange.Weights -> recordWeights(change, now)
 
                 OperatorChange.Other -> false
             }
         }
+
+        /** Records named weights. A version in the first read of the topic may have been named long before. */
+        private fun recordWeights(change: OperatorChange.Weights, now: MonotonicTime): Boolean {
+            val isAgeKnown = operations.replica.next != null
+            val namedAt = if (isAgeKnown) now else now - state.weightsLimits.assumedAge
+            val isNewest = state.desiredWeights.record(change.model, change.version, namedAt, isAgeKnown)
+            log.event(
+                "weights_named",
+                "model" to change.model.text,
+                "version" to change.version,
+                "newest" to isNewest,
+                "ageKnown" to isAgeKnown,
+            )
+            rolloutDriver.advance()
+            return isNewest
+        }
     }
 
     private inner class RegistryListener : TopicListener {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
@@ -13,6 +13,7 @@
 import org.cactuspulley.core.forwarding.WeightRollout
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.InstanceIncarnation
+import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.runtime.control.MonotonicClock
@@ -200,6 +201,26 @@
         }
     }
 
+    describe("an instance that learns late of named weights") {
+        for (size in listOf(8, 40)) {
+            // Guards against limits that count from the moment at which an instance that stood still learns of a version.
+            it("counts their age from the naming that its peers in a fleet of $size saw") {
+                simulate(size) {
+                    run(4)
+                    val model = ModelName("model-a")
+                    val namedAt = now
+                    instances.drop(1).forEach { it.state.desiredWeights.record(model, 2, namedAt) }
+                    instances[0].isDown = true
+                    run(10)
+                    instances[0].isDown = false
+                    instances[0].state.desiredWeights.record(model, 2, now)
+                    run(4)
+                    instances[0].state.desiredWeights.newest(model)?.namedAt shouldBe namedAt
+                }
+            }
+        }
+    }
+
     describe("records that one instance has read") {
         it("are not sent again before the peers that miss them could have reported it") {
             simulate(40) {
