Pass the attempt to the log instead of single figures of it

Cause: the linter rejects the eight parameters of DecisionLog.delivered. Change: delivered and attemptFailed take the attempt.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -15,14 +15,10 @@
 
 /** Logs each decision about a request and each state change of the instance as one structured line, and counts them in the metrics. */
 internal class DecisionLog(private val metrics: ForwardingMetrics) {
-    /**
-     * Records that a response of [target], which had [weights] when the request was sent, was passed on completely, after
-     * [sentAttempts] attempts and a total time of [duration].
-     */
+    /** Records that the response to [attempt] was passed on completely, after [sentAttempts] attempts and a total time of [duration]. */
     fun delivered(
         request: ForwardedRequest,
-        target: TargetId,
-        weights: Long?,
+        attempt: SendAttempt,
         grant: ForwardingGrant,
         status: Int,
         sentAttempts: Int,
@@ -33,8 +29,8 @@
         write(
             "delivered",
             "request" to request.id.text,
-            "target" to target.text,
-            "weights" to weights,
+            "target" to attempt.target.id.text,
+            "weights" to attempt.expectedWeights,
             "route" to grant.route.name.text,
             "workspace" to grant.workspace?.name?.text,
             "status" to status,
@@ -73,14 +69,14 @@
         )
     }
 
-    /** Records an attempt that ended without a usable response, at a [target] that had [weights] when the request was sent. */
-    fun attemptFailed(request: ForwardedRequest, target: TargetId, weights: Long?, failure: SendFailure, reason: String) {
+    /** Records an attempt that ended without a usable response. */
+    fun attemptFailed(request: ForwardedRequest, attempt: SendAttempt, failure: SendFailure, reason: String) {
         metrics.attemptFailed(failure.name)
         write(
             "send_failed",
             "request" to request.id.text,
-            "target" to target.text,
-            "weights" to weights,
+            "target" to attempt.target.id.text,
+            "weights" to attempt.expectedWeights,
             "cause" to failure.name,
             "reason" to reason,
         )
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -151,7 +151,7 @@
     override fun failed(attempt: SendAttempt, failure: SendFailure, reason: String) {
         val now = context.clock.now()
         val target = attempt.target
-        log.attemptFailed(request, target.id, attempt.expectedWeights, failure, reason)
+        log.attemptFailed(request, attempt, failure, reason)
         target.health.recordFailure(failure, now)
         if (ended) return
         val next = progress.recordFailure(target.id, failure, now)
@@ -259,7 +259,7 @@
         val now = context.clock.now()
         val target = attempt.target
         target.health.recordFailure(SendFailure.FAILED, now)
-        log.attemptFailed(request, target.id, attempt.expectedWeights, SendFailure.FAILED, "status $status")
+        log.attemptFailed(request, attempt, SendFailure.FAILED, "status $status")
         if (ended ||
             progress.recordFailure(target.id, SendFailure.FAILED, now) is NextStep.GiveUp
         ) {
@@ -278,7 +278,7 @@
         if (ended) return
         finish()
         val duration = context.clock.now() - arrivedAt
-        log.delivered(request, attempt.target.id, attempt.expectedWeights, grant, status, progress.sentAttempts, duration, timing)
+        log.delivered(request, attempt, grant, status, progress.sentAttempts, duration, timing)
     }
 
     private companion object {
