Failing test for the age of a version that an instance skipped

DesiredWeightsTracker.recordPeerAge then ignores the age of version 2 that peers tell, and version 1 stays allowed until version 3 is old enough. Result: on the unchanged logic the minimum is null instead of 2.

--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/DesiredWeightsSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/DesiredWeightsSpec.kt
@@ -34,6 +34,15 @@
             desired.minimum(MODEL, 6.seconds, START + 6.seconds) shouldBe 2
             desired.newest(MODEL)?.version shouldBe 2
         }
+
+        // Guards against starts on replaced weights by an instance that learned of the newest version only and skipped the one before.
+        it("counts an older version that was skipped here from the time that a peer reports") {
+            val desired = DesiredWeightsTracker()
+            desired.record(MODEL, 3, START + 4.seconds)
+            desired.recordPeerAge(MODEL, 2, START)
+            desired.newest(MODEL)?.version shouldBe 3
+            desired.minimum(MODEL, 6.seconds, START + 7.seconds) shouldBe 2
+        }
     }
 
     describe("the versions named recently") {
