Failing test for an assumed age that peers could correct

Callers may see refusals up to five seconds before the limit for older weights, from an instance that starts soon after a naming; found by review. Cause: DesiredWeightsTracker.recordPeerAge takes only earlier times, so an assumed age that is too high stays, and stays unknown: after a rolling restart no instance can tell the age to one that learns late.

--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/DesiredWeightsSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/DesiredWeightsSpec.kt
@@ -43,6 +43,15 @@
             desired.newest(MODEL)?.version shouldBe 3
             desired.minimum(MODEL, 6.seconds, START + 7.seconds) shouldBe 2
         }
+
+        // Guards against needless refusals by a restarted instance that keeps an assumed age although its peers know the true one.
+        it("counts from the time that a peer reports rather than from an assumed one, even if that is earlier") {
+            val desired = DesiredWeightsTracker()
+            desired.record(MODEL, 2, START, isAgeKnown = false)
+            desired.recordPeerAge(MODEL, 2, START + 4.seconds)
+            desired.minimum(MODEL, 6.seconds, START + 7.seconds) shouldBe null
+            desired.namedWithin(5.seconds, START + 7.seconds).map { it.version } shouldBe listOf(2L)
+        }
     }
 
     describe("the versions named recently") {
