Failing test for the order in which a late rollout updates targets

Cause: WeightRollout.startPoolUpdates takes the least loaded targets first, also after the time for draining, when load no longer matters for it.

--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -127,6 +127,18 @@
             simulation.orders.map { it.target }.toSet() shouldHaveSize 13
         }
 
+        // Guards against starts on replaced weights by requests whose sender stands still and that only an order returns.
+        it("orders the fullest targets first if the claim is granted after the time for draining") {
+            val simulation = RolloutSimulation(4)
+            simulation.directory.all.forEachIndexed { index, target -> target.load.add(index + 1.0) }
+            simulation.desired.record(MODEL, 2, START)
+            simulation.claimAnswer = ClaimAnswer.Unknown
+            simulation.run(7.1.seconds)
+            simulation.claimAnswer = ClaimAnswer.Granted(3)
+            simulation.run(0.7.seconds)
+            simulation.orders.first().target shouldBe TargetId("t-4")
+        }
+
         it("repeats an order that was lost") {
             val simulation = RolloutSimulation(1)
             simulation.orderAnswer = OrderAnswer.UNANSWERED
