Show that a former holder's old claim hides that the newer holder has stopped

Callers saw requests begin on weights that had been replaced: orders for new weights came later than they could. Cause: an instance without a claim takes the peer that reported a claim last for the holder, whatever its token. A former holder that had stood still reports its old claim once; as it is live, no instance takes over from the newer holder that has stopped. The test fails on the current code: no claim instead of one.

--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -150,6 +150,21 @@
             simulation.claims shouldBe 1
         }
 
+        // A former holder that had stood still reported its old claim, so nobody took over from the newer holder that had stopped.
+        it("of the newest holder is taken over after its lease although a former holder still reports an older one") {
+            val simulation = RolloutSimulation(1)
+            simulation.fleet.recordContact(member("i-2"), serves = true, reachesStore = true, START)
+            simulation.rollout.recordPeerClaim(InstanceId("i-2"), 3)
+            simulation.desired.record(MODEL, 2, START)
+            simulation.run(1.seconds)
+            simulation.rollout.recordPeerClaim(InstanceId("i-3"), 2)
+            repeat(6) {
+                simulation.fleet.recordContact(member("i-3"), serves = true, reachesStore = true, simulation.now)
+                simulation.run(500.milliseconds)
+            }
+            simulation.claims shouldBe 1
+        }
+
         it("is made by the best-ranked instance first") {
             val simulation = RolloutSimulation(1)
             val rank = run {
