Count a version of weights that was skipped from the naming that a peer saw

Callers may see starts on weights two versions old, later than the limit; found by review. Cause: records reach a lagging instance as the newest of each key, so it may learn of version 3 only. The age of version 2 that peers tell was ignored, and so were all ages in the datagram that brings the record, because they were applied before it. Change: an age of an older version that is unknown here adds that version; ages are applied after the records of the same digest. Result: the minimum was null before and is version 2 now (DesiredWeightsSpec).

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
@@ -36,11 +36,21 @@
         return true
     }
 
-    /** Records that a peer knows [version] of [model] since [namedAt]; a version that is not known here is ignored. */
+    /**
+     * Records that a peer knows [version] of [model] since [namedAt]. A version that was skipped here is added; one that is newer
+     * than all known ones is ignored, because its record follows.
+     */
     public fun recordPeerAge(model: ModelName, version: Long, namedAt: MonotonicTime) {
         val known = versions[model] ?: return
-        val index = known.indexOfFirst { it.version == version }
-        if (index >= 0 && namedAt < known[index].namedAt) known[index] = known[index].copy(namedAt = namedAt, isAgeKnown = true)
+        val index = known.indexOfFirst { it.version >= version }
+        when {
+            index < 0 -> return
+
+            known[index].version > version -> known.add(index, DesiredWeights(model, version, namedAt))
+
+            namedAt < known[index].namedAt -> known[index] = known[index].copy(namedAt = namedAt, isAgeKnown = true)
+        }
+        if (known.size > MAX_VERSIONS) known.removeFirst()
     }
 
     /** Returns the newest desired version of [model], or null if none is known. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -274,6 +274,10 @@
         if (hasLostStore && state.fleet.isStoreChecker(now)) operations.read()
         digest.claimFence?.let { rollout.recordPeerClaim(peer, it) }
         digest.relayedRanges.forEach { applyRelayed(peer, it, now) }
+        // The relayed records may hold the versions.
+        digest.namedWeights.forEach {
+            state.desiredWeights.recordPeerAge(ModelName(it.model), it.version, at - it.ageMillis.milliseconds)
+        }
         onUpdate()
     }
 
@@ -294,9 +298,6 @@
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
-        digest.namedWeights.forEach {
-            state.desiredWeights.recordPeerAge(ModelName(it.model), it.version, at - it.ageMillis.milliseconds)
-        }
         digest.shownWeights.forEach { state.directory[TargetId(it.target)]?.recordWeights(ModelName(it.model), it.version) }
     }
 
