Prefer the age of weights that a peer knows to an assumed one

Callers may see refusals up to five seconds before the limit for older weights, from an instance that starts soon after a naming; found by review. Cause: only an earlier time replaced an assumed one, so the assumption stayed, and stayed unknown: after a rolling restart no instance could tell the age. Change: a peer's time replaces an assumed one, also if it is later. Result: the minimum was version 2 after three seconds before, and is null until the limit now (DesiredWeightsSpec).

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
@@ -37,7 +37,7 @@
     }
 
     /**
-     * Records that a peer knows [version] of [model] since [namedAt]. A version that was skipped here is added; one that is newer
+     * Records that a peer knows [version] of [model] since [namedAt], which replaces an assumed time. A version that was skipped here is added; one that is newer
      * than all known ones is ignored, because its record follows.
      */
     public fun recordPeerAge(model: ModelName, version: Long, namedAt: MonotonicTime) {
@@ -48,7 +48,7 @@
 
             known[index].version > version -> known.add(index, DesiredWeights(model, version, namedAt))
 
-            namedAt < known[index].namedAt -> known[index] = known[index].copy(namedAt = namedAt, isAgeKnown = true)
+            namedAt < known[index].namedAt || !known[index].isAgeKnown -> known[index] = known[index].copy(namedAt = namedAt, isAgeKnown = true)
         }
         if (known.size > MAX_VERSIONS) known.removeFirst()
     }
