Order the fullest targets first in a late rollout of weights

Cause: the least loaded targets come first, because they are drained fastest. When there is no time left for draining, that leaves those targets for last at which requests wait, and an order is what returns the requests of an instance that stands still. Change: after the time for draining, the targets with the most load come first. Result: the first order went to the emptiest of four targets before, and goes to the fullest now (WeightRolloutSpec).

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -233,7 +233,9 @@
         val capacity = ceil(members.size * settings.maxConcurrentFraction).toInt().coerceAtLeast(1) - members.count { it.id in updates }
         val isFirstBatch = targets.size == members.size
         val drainUntil = minOf(now + if (isFirstBatch) FIRST_DRAIN_TIME else DRAIN_TIME, weights.namedAt + settings.drainLimit)
-        targets.filter { it.id !in updates }.sortedBy { it.load.total(now) }.take(capacity.coerceAtLeast(0)).forEach { target ->
+        // An order makes a target return the requests that wait there, so a late rollout begins where most of them wait.
+        val byLoad = compareBy<Target> { it.load.total(now) }.let { if (drainUntil > now) it else it.reversed() }
+        targets.filter { it.id !in updates }.sortedWith(byLoad).take(capacity.coerceAtLeast(0)).forEach { target ->
             updates[target.id] = TargetUpdate(target.id, weights.model).apply {
                 drainDeadline = drainUntil
                 nextReportAt = if (target.load.total(now) == 0.0) now else minOf(now + DRAIN_CHECK_INTERVAL, maxOf(now, drainUntil))
