Ignore the claim of a former holder when a newer one is known

Callers saw requests begin on weights that had been replaced: orders for new weights came later than they could. Cause: an instance without a claim took the peer that reported a claim last for the holder, whatever its token. A former holder that had stood still reports its old claim once; as it is live, no instance took over from the newer holder that had stopped. Change: the highest token that is known decides who the holder is.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -125,6 +125,9 @@
     public var fencingToken: Long? = null
         private set
 
+    /** The highest fencing token of any claim that is known; 0 if none is. */
+    private var newestToken = 0L
+
     /** The last instance known to hold the claim; null if none is known. */
     public var holder: InstanceId? = null
         private set
@@ -139,12 +142,12 @@
     public val nextDeadline: MonotonicTime?
         get() = updates.values.mapNotNull { it.nextReportAt }.fold(claimRetryAt, ::earliest)
 
-    /** Records that [peer] reports to hold the claim with [peerToken]. */
+    /** Records that [peer] reports to hold the claim with [peerToken]; a claim older than one already known is ignored. */
     public fun recordPeerClaim(peer: InstanceId, peerToken: Long) {
-        val own = fencingToken
-        if (own != null && peerToken < own) return
+        if (peerToken < newestToken) return
+        newestToken = peerToken
         holder = peer
-        if (own != null && peerToken > own) releaseClaim()
+        if ((fencingToken ?: peerToken) < peerToken) releaseClaim()
     }
 
     /** Advances the rollout and returns the actions to perform at [now]. */
@@ -207,6 +210,7 @@
         when (answer) {
             is ClaimAnswer.Granted -> {
                 fencingToken = answer.fence
+                newestToken = answer.fence
                 holder = self
             }
 
