Do not count the age of weights from the end of a pause

Callers may see starts on replaced weights after a pause of all instances, or of one without live peers; found by review. Cause: the moment of reading was taken for the naming whenever the topic had been read before, also right after a delay of the event loop. Change: news that arrives during a delay or within a second after it may be as old as the beginning of the delay; that time is used, and is replaced by what a peer knows. Result: a request sent 8 s after the naming, 4 s after the end of a pause, got 200 from a target with version 1 before, and 503 now (WeightsStartLimitSpec).

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
@@ -8,7 +8,8 @@
  * The version that the weights of a model should have.
  *
  * @property namedAt the time at which the version was named, as far as is known; see [isAgeKnown].
- * @property isAgeKnown whether [namedAt] was observed, by this instance or a peer; otherwise it is assumed.
+ * @property isAgeKnown whether this instance or a peer learned of the version when it was named; otherwise [namedAt] is the earliest
+ *    time at which that may have been.
  */
 public data class DesiredWeights(
     val model: ModelName,
@@ -48,7 +49,8 @@
 
             known[index].version > version -> known.add(index, DesiredWeights(model, version, namedAt))
 
-            namedAt < known[index].namedAt || !known[index].isAgeKnown -> known[index] = known[index].copy(namedAt = namedAt, isAgeKnown = true)
+            namedAt < known[index].namedAt || !known[index].isAgeKnown -> known[index] =
+                known[index].copy(namedAt = namedAt, isAgeKnown = true)
         }
         if (known.size > MAX_VERSIONS) known.removeFirst()
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -284,10 +284,15 @@
             }
         }
 
-        /** Records named weights. A version in the first read of the topic may have been named long before. */
+        /**
+         * Records named weights. A version in the first read of the topic may have been named long before, and one that is read after a
+         * pause of this process at any time during the pause.
+         */
         private fun recordWeights(change: OperatorChange.Weights, now: MonotonicTime): Boolean {
-            val isAgeKnown = operations.replica.next != null
-            val namedAt = if (isAgeKnown) now else now - state.weightsLimits.assumedAge
+            val isFirstRead = operations.replica.next == null
+            val earliest = context.loopDelay.earliestOrigin(now)
+            val isAgeKnown = !isFirstRead && earliest == now
+            val namedAt = if (isFirstRead) minOf(earliest, now - state.weightsLimits.assumedAge) else earliest
             val isNewest = state.desiredWeights.record(change.model, change.version, namedAt, isAgeKnown)
             log.event(
                 "weights_named",
