Withdraw only streams from targets with older weights

Callers of a route that is no stream could lose an answer that was being made; found by review, on no deployment so far. Cause: such a route sends its content at the end, so a request that runs looks like one that waits. Change: only streams, which run from their first token on, are withdrawn.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -120,8 +120,8 @@
     /** Whether the request has been written to a connection. */
     val isWritten: Boolean get() = channel != null
 
-    /** Whether the request was sent and no content of a response has arrived, so that it may still wait at the target. */
-    val isWaiting: Boolean get() = isWritten && !isClosed && !hasContent
+    /** Whether a stream was requested and has sent no content, so that the request may still wait at the target. */
+    val isWaiting: Boolean get() = grant.route.isStream && isWritten && !isClosed && !hasContent
 
     /** Whether the head of a response has arrived. */
     val hasResponse: Boolean get() = responseHead != null
