Log how far a failed send's response got, and the pieces of its prompt

What callers saw: nothing; the log could not show which request crashed a target. Change: send_failed names whether a response and an event arrived, and the shared pieces.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -68,10 +68,29 @@
         )
     }
 
-    /** Records an attempt that ended without a usable response. */
-    fun attemptFailed(request: ForwardedRequest, target: TargetId, failure: SendFailure, reason: String) {
+    /**
+     * Records an attempt that ended without a usable response. [hasResponse] and [hasEvents] tell how far the response got; together
+     * with the shared pieces of the prompt they show which requests may have crashed the target.
+     */
+    fun attemptFailed(
+        request: ForwardedRequest,
+        target: TargetId,
+        failure: SendFailure,
+        reason: String,
+        hasResponse: Boolean,
+        hasEvents: Boolean,
+    ) {
         metrics.attemptFailed(failure.name)
-        write("send_failed", "request" to request.id.text, "target" to target.text, "cause" to failure.name, "reason" to reason)
+        write(
+            "send_failed",
+            "request" to request.id.text,
+            "target" to target.text,
+            "cause" to failure.name,
+            "reason" to reason,
+            "response" to hasResponse,
+            "events" to hasEvents,
+            "pieces" to request.prompt?.sharedPieces?.joinToString(",") { it.contentHash.toULong().toString(HEXADECIMAL) },
+        )
     }
 
     /** Records a response to another request, [otherRequest], which was discarded. */
@@ -97,4 +116,9 @@
             payload = details.filter { it.second != null }.toMap()
         }
     }
+
+    private companion object {
+        /** The radix in which callers write the hashes of pieces. */
+        const val HEXADECIMAL = 16
+    }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -150,7 +150,7 @@
     override fun failed(attempt: SendAttempt, failure: SendFailure, reason: String) {
         val now = context.clock.now()
         val target = attempt.target
-        log.attemptFailed(request, target.id, failure, reason)
+        log.attemptFailed(request, target.id, failure, reason, attempt.hasResponse, attempt.hasEvents)
         target.health.recordFailure(failure, now)
         if (ended) return
         val next = progress.recordFailure(target.id, failure, now)
@@ -249,7 +249,7 @@
         val now = context.clock.now()
         val target = attempt.target
         target.health.recordFailure(SendFailure.FAILED, now)
-        log.attemptFailed(request, target.id, SendFailure.FAILED, "status $status")
+        log.attemptFailed(request, target.id, SendFailure.FAILED, "status $status", attempt.hasResponse, attempt.hasEvents)
         if (ended ||
             progress.recordFailure(target.id, SendFailure.FAILED, now) is NextStep.GiveUp
         ) {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -119,6 +119,10 @@
     /** Whether the head of a response has arrived. */
     val hasResponse: Boolean get() = responseHead != null
 
+    /** Whether a complete event of a stream has arrived. */
+    var hasEvents: Boolean = false
+        private set
+
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
         target.load.add(units)
@@ -255,6 +259,7 @@
             return
         }
         val completeEvents = stream.accept(content) ?: return
+        hasEvents = true
         markRunning()
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
     }
