Count crashes of targets by the pieces of prompts, not by whole requests

What callers saw: requests with one piece in their prompts crashed target after target, and sound requests beside them were cut. Cause: crashes were counted by the whole request, and no two of these requests are alike. Change: a crash counts against the shared pieces of prompts whose answer had begun without a first event; a first event anywhere in the fleet clears its prompt's pieces; two crashes without one quarantine the pieces, for new requests, retries and those waiting at targets. A target has crashed if it accepts no connection after the break, so that a reset connection does not count.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardedRequest.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardedRequest.kt
@@ -42,8 +42,8 @@
     /** The hash of the last shared piece, or of the only piece; requests with the same value share a prompt prefix. */
     public val affinity: Long? get() = (pieces.getOrNull(pieces.size - 2) ?: pieces.lastOrNull())?.contentHash
 
-    /** The pieces that other requests may share, which are all but the last. */
-    public val sharedPieces: List<PromptPiece> get() = pieces.dropLast(1)
+    /** The hashes of the pieces that other requests may share, which are all but the last. */
+    public val sharedHashes: List<Long> get() = pieces.dropLast(1).map { it.contentHash }
 
     /** The number of tokens in the shared pieces, which are all but the last. */
     public val sharedTokens: Int get() = promptTokens - (pieces.lastOrNull()?.tokens ?: promptTokens)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -68,6 +68,10 @@
         )
     }
 
+    /** Records that a request is refused or withdrawn because its prompt holds the quarantined [pieces]. */
+    fun quarantined(request: ForwardedRequest, pieces: Set<Long>) =
+        write("quarantined", "request" to request.id.text, "pieces" to PieceQuarantineExchange.text(pieces))
+
     /**
      * Records an attempt that ended without a usable response. [hasResponse] and [hasEvents] tell how far the response got; together
      * with the shared pieces of the prompt they show which requests may have crashed the target.
@@ -89,7 +93,7 @@
             "reason" to reason,
             "response" to hasResponse,
             "events" to hasEvents,
-            "pieces" to request.prompt?.sharedPieces?.joinToString(",") { it.contentHash.toULong().toString(HEXADECIMAL) },
+            "pieces" to request.prompt?.let { PieceQuarantineExchange.text(it.sharedHashes) },
         )
     }
 
@@ -116,9 +120,4 @@
             payload = details.filter { it.second != null }.toMap()
         }
     }
-
-    private companion object {
-        /** The radix in which callers write the hashes of pieces. */
-        const val HEXADECIMAL = 16
-    }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -173,9 +173,12 @@
         val now = context.clock.now()
         crashes.addLast(notice to now + CRASH_REPEAT_TIME)
         if (crashes.size > MAX_CRASHES) crashes.removeFirst()
-        sendTo(PeerMessage(ownDigest(now)), addresses(state.fleet.known))
+        sendToAll()
     }
 
+    /** Sends this instance's digest to all peers, also in a large fleet. */
+    fun sendToAll() = sendTo(PeerMessage(ownDigest(context.clock.now())), addresses(state.fleet.known))
+
     private fun missingRanges(peer: PeerPosition): List<RelayedRange> =
         listOfNotNull(
             missingRange(operations, StoreTopic.OPERATIONS, peer.operationsNext),
@@ -215,6 +218,9 @@
             shownWeights = shownWeights(),
             failingStores = state.cache.unresponsiveStores,
             crashes = crashes.map { it.first },
+            pieceCrashes = context.pieces.crashNotices(now),
+            soundPieces = context.pieces.soundNotices(now),
+            pieceQuarantines = context.pieces.quarantineNotices(now),
         )
     }
 
@@ -288,6 +294,7 @@
         }
         digest.failingStores.forEach { state.cache.recordPeerStoreFailure(it, until, context.clock.now()) }
         digest.crashes.forEach { state.crashes.add(it, at) }
+        context.pieces.receive(peer, digest, at)
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -11,6 +11,9 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborArray
 import org.cactuspulley.core.quarantine.CrashNotice
+import org.cactuspulley.core.quarantine.PieceCrashNotice
+import org.cactuspulley.core.quarantine.PieceQuarantineNotice
+import org.cactuspulley.core.quarantine.SoundPieceNotice
 
 /**
  * The state of one instance.
@@ -34,6 +37,9 @@
  * @property saved the pieces that the instance had targets save to a cache store since its last regular digest.
  * @property failingStores the addresses of the cache stores that are unresponsive to the instance.
  * @property crashes the recent crash notices of the instance.
+ * @property pieceCrashes the crashes of targets that the instance observed recently, with the pieces that may have caused them.
+ * @property soundPieces the suspected pieces that the instance recently found sound.
+ * @property pieceQuarantines the quarantines of pieces that hold at the instance.
  * @property relayedRanges the records that the instance relays to the receiver.
  */
 @Serializable
@@ -57,6 +63,9 @@
     val saved: List<EncodedSaveNotice> = emptyList(),
     val failingStores: Set<String> = emptySet(),
     val crashes: List<CrashNotice> = emptyList(),
+    val pieceCrashes: List<PieceCrashNotice> = emptyList(),
+    val soundPieces: List<SoundPieceNotice> = emptyList(),
+    val pieceQuarantines: List<PieceQuarantineNotice> = emptyList(),
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
 )
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -85,6 +85,10 @@
         if (state.crashes.verdict(requestFingerprint, arrivedAt) is QuarantineVerdict.Quarantined) {
             return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
         }
+        context.pieces.verdict(request.prompt, arrivedAt)?.let { quarantined ->
+            log.quarantined(request, quarantined)
+            return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
+        }
         if (!charge()) return
         progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool))
         val remaining = progress.deadline - arrivedAt
@@ -113,7 +117,7 @@
     }
 
     private fun startAttempt() {
-        if (ended) return
+        if (ended || withdrawIfQuarantined()) return
         val now = context.clock.now()
         val model = request.prompt?.model
         val minimum = model?.let { state.desiredWeights.minimum(it, OLD_WEIGHTS_LIMIT, now) }
@@ -170,6 +174,27 @@
         if (streamBegun) writer.abort() else writer.refuse(step.refusal, step.retryAfter)
     }
 
+    /**
+     * Ends the request if its prompt is quarantined and no answer has begun, so that it crashes no further target; returns whether
+     * it did.
+     */
+    fun withdrawIfQuarantined(): Boolean {
+        val outstanding = currentAttempt
+        if (ended || outstanding?.hasEvents == true) return false
+        val quarantined = context.pieces.verdict(request.prompt, context.clock.now()) ?: return false
+        log.quarantined(request, quarantined)
+        val mayHaveRun = progress.mayHaveRun || outstanding?.isWritten == true
+        outstanding?.cancel(null)
+        giveUp(
+            if (mayHaveRun) {
+                NextStep.GiveUp(ForwardingRefusal.TARGET_FAILED, null)
+            } else {
+                NextStep.GiveUp(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
+            },
+        )
+        return true
+    }
+
     private fun refundCharge() {
         if (charged > 0) grant.workspace?.let { state.tokenBucket(it) }?.refund(charged, context.clock.now())
         charged = 0.0
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -36,10 +36,14 @@
     val loopDelay: LoopDelayMonitor,
     private val onCrash: (CrashNotice) -> Unit,
     private val sendDigests: () -> Unit,
+    private val sendToAll: () -> Unit = sendDigests,
 ) {
     /** The allocator of all buffers of the exchanges. */
     val allocator: ByteBufAllocator = PooledByteBufAllocator.DEFAULT
 
+    /** The pieces of prompts that crash targets. */
+    val pieces = PieceQuarantineExchange(this) { sendToAll() }
+
     private var digestPending = false
 
     /** The exchanges that have not ended. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -85,6 +85,7 @@
         LoopDelayMonitor(TICK_MILLIS.milliseconds, clock.now()),
         onCrash = { notice -> digests.sendCrash(notice) },
         sendDigests = { digests.sendDigests() },
+        sendToAll = { digests.sendToAll() },
     )
     private val log = context.log
     private val listener = CallerListener(context, ports.callers)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -259,6 +259,7 @@
             return
         }
         val completeEvents = stream.accept(content) ?: return
+        if (!hasEvents) request.prompt?.let { context.pieces.answerBegan(it, lastActivityAt) }
         hasEvents = true
         markRunning()
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
@@ -328,6 +329,7 @@
             return observer.failed(this, failure ?: SendFailure.BROKEN, "status ${head.status}")
         }
         target.health.recordSuccess(context.clock.now())
+        request.prompt?.let { context.pieces.answerBegan(it, context.clock.now()) }
         observer.responseReceived(this, httpResponse, head.status, body)
     }
 
@@ -345,10 +347,19 @@
 
     override fun onBroken(reason: String) {
         close()
+        reportSuspectedCrash()
         if (responseHead == null || observer.hasStreamBegun) observer.targetCrashed(this)
         observer.failed(this, SendFailure.BROKEN, reason)
     }
 
+    /** Reports a target that broke the connection between the beginning of an answer and its first event, as one that crashes does. */
+    private fun reportSuspectedCrash() {
+        val prompt = request.prompt ?: return
+        val address = HostAndPort.parse(target.entry.address) ?: return
+        val mayHaveCrashed = if (grant.route.isStream) hasResponse && !hasEvents else !hasResponse
+        if (mayHaveCrashed) context.pieces.connectionBroke(target, address, prompt, context.clock.now())
+    }
+
     /** Pauses or resumes reading from the target. */
     fun pause(paused: Boolean) {
         channel?.config()?.isAutoRead = !paused
