--- a/core/src/main/kotlin/org/cactuspulley/core/quarantine/PieceQuarantine.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/quarantine/PieceQuarantine.kt
@@ -149,8 +149,11 @@
     }
 
     private companion object {
-        /** The number of crashes, without a first event in between, from which pieces are quarantined. */
-        const val CRASH_THRESHOLD = 2
+        /**
+         * The number of crashes, without a first event in between, from which pieces are quarantined. Two may hit the prompts of one
+         * rarely used piece by chance.
+         */
+        const val CRASH_THRESHOLD = 3
 
         /** Crashes that follow each other more closely may have a common cause, such as the loss of a rack. */
         val COMMON_CAUSE_WINDOW = 200.milliseconds
