--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/DesiredWeights.kt
@@ -38,8 +38,8 @@
     }
 
     /**
-     * Records that a peer knows [version] of [model] since [namedAt], which replaces an assumed time. A version that was skipped here is added; one that is newer
-     * than all known ones is ignored, because its record follows.
+     * Records that a peer knows [version] of [model] since [namedAt], which replaces an assumed time. A version that was skipped here
+     * is added; one that is newer than all known ones is ignored, because its record follows.
      */
     public fun recordPeerAge(model: ModelName, version: Long, namedAt: MonotonicTime) {
         val known = versions[model] ?: return
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -69,7 +69,14 @@
         )
     }
 
-    /** Records an attempt that ended without a usable response. */
+    /** Records that a request is refused or withdrawn because its prompt holds the quarantined [pieces]. */
+    fun quarantined(request: ForwardedRequest, pieces: Set<Long>) =
+        write("quarantined", "request" to request.id.text, "pieces" to PieceQuarantineExchange.text(pieces))
+
+    /**
+     * Records an attempt that ended without a usable response. How far the response got and the shared pieces of the prompt show which
+     * requests may have crashed the target.
+     */
     fun attemptFailed(request: ForwardedRequest, attempt: SendAttempt, failure: SendFailure, reason: String) {
         metrics.attemptFailed(failure.name)
         write(
@@ -79,6 +86,9 @@
             "weights" to attempt.expectedWeights,
             "cause" to failure.name,
             "reason" to reason,
+            "response" to attempt.hasResponse,
+            "events" to attempt.hasEvents,
+            "pieces" to request.prompt?.let { PieceQuarantineExchange.text(it.sharedHashes) },
         )
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -126,6 +126,10 @@
     /** Whether the head of a response has arrived. */
     val hasResponse: Boolean get() = responseHead != null
 
+    /** Whether a complete event of a stream has arrived. */
+    var hasEvents: Boolean = false
+        private set
+
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
         target.load.add(units)
@@ -263,6 +267,8 @@
             return
         }
         val completeEvents = stream.accept(content) ?: return
+        if (!hasEvents) request.prompt?.let { context.pieces.answerBegan(it, lastActivityAt) }
+        hasEvents = true
         markRunning()
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
     }
@@ -331,6 +337,7 @@
             return observer.failed(this, failure ?: SendFailure.BROKEN, "status ${head.status}")
         }
         target.health.recordSuccess(context.clock.now())
+        request.prompt?.let { context.pieces.answerBegan(it, context.clock.now()) }
         observer.responseReceived(this, httpResponse, head.status, body)
     }
 
@@ -348,10 +355,19 @@
 
     override fun onBroken(reason: String) {
         close()
+        reportSuspectedCrash()
         if (responseHead == null || observer.hasStreamBegun) observer.targetCrashed(this)
         observer.failed(this, SendFailure.BROKEN, reason)
     }
 
+    /** Reports a target that broke the connection between the beginning of an answer and its first event, as one that crashes does. */
+    private fun reportSuspectedCrash() {
+        val prompt = request.prompt ?: return
+        val address = HostAndPort.parse(target.entry.address) ?: return
+        val mayHaveCrashed = if (grant.route.isStream) hasResponse && !hasEvents else !hasResponse
+        if (mayHaveCrashed) context.pieces.connectionBroke(target, address, prompt, context.clock.now())
+    }
+
     /** Pauses or resumes reading from the target. */
     fun pause(paused: Boolean) {
         channel?.config()?.isAutoRead = !paused
