--- /dev/null
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/PeerCodecSpec.kt
@@ -0,0 +1,43 @@
+package org.cactuspulley.runtime.forwarding
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.byte
+import io.kotest.property.arbitrary.byteArray
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+
+@OptIn(ExperimentalSerializationApi::class)
+class PeerCodecSpec : DescribeSpec({
+    /** Decodes [bytes] and lets only the exception pass that all who decode records handle. */
+    fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray) {
+        try {
+            Cbor.decodeFromByteArray(serializer, bytes)
+        } catch (_: SerializationException) {
+            return
+        }
+    }
+
+    describe("an announcement or a claim") {
+        // Guards against a claim that stays open for ever, because decoding the newest one threw what its reader does not handle.
+        it("with mutated bytes is decoded or results in a serialization exception") {
+            val announcement = Announcement("i-1", 1_777_000_000_000, "zone-a", "10.0.0.1:1", "10.0.0.1:2")
+            val announcementBytes = Cbor.encodeToByteArray(Announcement.serializer(), announcement)
+            val claimBytes = Cbor.encodeToByteArray(ClaimRecord.serializer(), ClaimRecord("i-1", 1_777_000_000_000))
+            checkAll(Arb.int(0..announcementBytes.size), Arb.int(0..claimBytes.size), Arb.byteArray(Arb.int(0..6), Arb.byte())) {
+                    first,
+                    second,
+                    odd,
+                ->
+                decode(Announcement.serializer(), announcementBytes.copyOf(first) + odd)
+                decode(Announcement.serializer(), announcementBytes.copyOf(first) + odd + announcementBytes.drop(first + odd.size))
+                decode(ClaimRecord.serializer(), claimBytes.copyOf(second) + odd)
+                decode(ClaimRecord.serializer(), claimBytes.copyOf(second) + odd + claimBytes.drop(second + odd.size))
+            }
+        }
+    }
+})
--- /dev/null
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -0,0 +1,109 @@
+package org.cactuspulley.runtime.forwarding
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.netty.channel.DefaultEventLoop
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import org.cactuspulley.core.forwarding.FleetMember
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.InstanceIncarnation
+import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.ZoneName
+import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.settings.FleetBounds
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private object UnusedTargets : TargetProtocol {
+    override fun request(send: TargetRequest): HttpRequest = error("This test sends no requests")
+
+    override fun responseHead(response: HttpResponse): TargetResponseHead = error("This test receives no responses")
+
+    override fun callerHead(response: HttpResponse): HttpResponse = error("This test receives no responses")
+}
+
+/** A store with one topic, which responds to reads immediately. */
+private class SingleTopicStore : RecordStore {
+    val records = mutableListOf<KeyedRecord>()
+
+    fun put(vararg keys: String) = keys.forEach { records += KeyedRecord(it, records.size.toLong(), it.toByteArray()) }
+
+    override fun read(topic: StoreTopic, from: Long, wait: Duration, done: (Result<RecordBatch, StoreFailure>) -> Unit) =
+        done(Ok(RecordBatch(records.filter { it.offset >= from }, records.size.toLong())))
+
+    override fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit) =
+        done(Ok(RecordBatch(records.associateBy { it.key }.values.toList(), records.size.toLong())))
+
+    override fun append(
+        topic: StoreTopic,
+        key: String,
+        value: ByteArray,
+        expectedEnd: Long?,
+        done: (Result<Long, StoreFailure>) -> Unit,
+    ) = error("This test appends no records")
+}
+
+/** Throws for the keys in [failures], and collects the other keys. */
+private class FailingListener : TopicListener {
+    val failures = mapOf("odd" to IllegalArgumentException("port out of range"), "deep" to StackOverflowError())
+    val keys = mutableListOf<String>()
+
+    override fun recordChanged(record: KeyedRecord): Boolean {
+        failures[record.key]?.let { throw it }
+        return keys.add(record.key)
+    }
+
+    override fun storeRecovered() = Unit
+}
+
+class StoreFollowerSpec : DescribeSpec({
+    val loop = DefaultEventLoop()
+    afterSpec { loop.shutdownGracefully() }
+    val clock = MonotonicClock { MonotonicTime.ZERO }
+    val member = FleetMember(InstanceId("i-1"), InstanceIncarnation(1), ZoneName("zone-a"), "10.0.0.1:1", "10.0.0.1:2")
+    val context = ForwardingContext(
+        loop,
+        clock,
+        ForwardingState(member, FleetBounds(), clock.now()),
+        UnusedTargets,
+        TargetConnectionPool(loop, clock),
+        DecisionLog(ForwardingMetrics()),
+        LoopDelayMonitor(100.milliseconds, clock.now()),
+        onCrash = {},
+        sendDigests = {},
+    )
+
+    describe("a record that its listener fails on") {
+        // Guards against a topic that an instance follows no further than the first record that it cannot use.
+        it("does not keep the others of the same read from being applied") {
+            val store = SingleTopicStore()
+            val listener = FailingListener()
+            val follower = StoreFollower(context, store, StoreTopic.REGISTRY, listener, null) { false }
+            val reads = mutableListOf<List<String>>()
+            follower.onRead = { _, changed -> reads += changed.map { it.key } }
+            store.put("a", "odd", "b", "deep", "c")
+            follower.read()
+            follower.replica.next shouldBe 5
+            store.put("d", "odd", "e")
+            follower.read()
+            follower.replica.next shouldBe 8
+            listener.keys shouldBe listOf("a", "b", "c", "d", "e")
+            reads shouldBe listOf(listOf("a", "b", "c"), listOf("d", "e"))
+        }
+
+        // Guards against the same when a peer relays the records.
+        it("does not keep the others of a relayed range from being applied") {
+            val listener = FailingListener()
+            val follower = StoreFollower(context, SingleTopicStore(), StoreTopic.REGISTRY, listener, null) { false }
+            val records = listOf("a", "odd", "b", "deep", "c").mapIndexed { offset, key ->
+                RelayedRecord(key, offset.toLong(), key.toByteArray())
+            }
+            follower.applyRelayed(RelayedRange(StoreTopic.REGISTRY, null, 5, records))
+            follower.replica.next shouldBe 5
+            listener.keys shouldBe listOf("a", "b", "c")
+        }
+    }
+})
