Do not parse addresses whose port is out of range

Callers saw: requests without a response, if the registry listed a target with a port above 65535 or below 0 and it was selected. Weights were not ordered while such a target served the model. Cause: the address was parsed, but to connect to it throws instead of failing, on the event loop and within whatever read the registry, sent the request or advanced the rollout: its callback was never called. Change: an address has a port from 1 to 65535 in ASCII digits, and a host without spaces, control characters or stray brackets and colons. Addresses in settings, announcements and configurations are held to the same.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/HostAndPort.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/HostAndPort.kt
@@ -5,11 +5,14 @@
     override fun toString(): String = if (':' in host) "[$host]:$port" else "$host:$port"
 
     public companion object {
-        /** Parses `host:port`, or `[host]:port` for an IPv6 address; returns null if [text] has neither form. */
+        private const val MAX_PORT = 65_535
+        private val FORM = Regex("""(?:\[([^\s\p{Cntrl}\[\]]*:[^\s\p{Cntrl}\[\]]*)]|([^\s\p{Cntrl}:\[\]]+)):([0-9]{1,5})""")
+
+        /** Parses `host:port`, or `[host]:port` for an IPv6 address; returns null if [text] has neither form or the port is out of range. */
         public fun parse(text: String): HostAndPort? {
-            val host = text.substringBeforeLast(':', "").removeSurrounding("[", "]")
-            val port = text.substringAfterLast(':').toIntOrNull()
-            return if (host.isEmpty() || port == null) null else HostAndPort(host, port)
+            val (bracketedHost, plainHost, digits) = FORM.matchEntire(text)?.destructured ?: return null
+            val port = digits.toInt()
+            return if (port in 1..MAX_PORT) HostAndPort(bracketedHost.ifEmpty { plainHost }, port) else null
         }
     }
 }
