Let a record that its listener fails on cost only itself

Callers saw: nothing yet beyond the failures that the decoding of records and addresses caused, which are mended at their source. This removes what made them worse: the first record of a read that threw kept the records after it from being applied, the topic's position from advancing and the read from being relayed to peers, and a read with many such records needed as many repetitions. Of a relayed range, the rest was lost. Change: the follower catches what its listener throws, also an exhausted stack, logs the record's offset and continues. A periodic task that exhausts the stack is logged too, because an error that it throws would end all its later runs. Tests: StoreFollowerSpec, both tests, failed with the listener's exception before and pass now.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -175,6 +175,9 @@
         action()
     } catch (failure: Exception) {
         log.event(event, "reason" to failure.toString())
+    } catch (failure: StackOverflowError) {
+        // An error that a periodic task throws would end all its later runs.
+        log.event(event, "reason" to failure.toString())
     }
 
     /** Live instances read the registry in turn and send the records to the others; an instance that receives none reads by itself. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -104,15 +104,29 @@
     }
 
     private fun apply(from: Long?, records: List<KeyedRecord>, next: Long) {
-        val changed = records.filter { replica.apply(it) && listener.recordChanged(it) }
+        val changed = records.filter { replica.apply(it) && notifyListener(it) }
         replica.advance(next)
         onRead(from, changed)
     }
 
+    /** Passes [record] to the listener. A record that the listener fails on costs only itself: the following records still apply. */
+    private fun notifyListener(record: KeyedRecord): Boolean = try {
+        listener.recordChanged(record)
+    } catch (failure: Exception) {
+        recordFailed(record, failure)
+    } catch (failure: StackOverflowError) {
+        recordFailed(record, failure)
+    }
+
+    private fun recordFailed(record: KeyedRecord, failure: Throwable): Boolean {
+        context.log.event("record_failed", "topic" to topic.name, "offset" to record.offset, "reason" to failure.toString())
+        return false
+    }
+
     /** Applies records that a peer has read. */
     fun applyRelayed(range: RelayedRange) {
         val known = replica.next
-        range.records.map { KeyedRecord(it.key, it.offset, it.value) }.filter { replica.apply(it) }.forEach { listener.recordChanged(it) }
+        range.records.map { KeyedRecord(it.key, it.offset, it.value) }.filter { replica.apply(it) }.forEach { notifyListener(it) }
         if (range.from == null || (known != null && range.from <= known)) replica.advance(range.next)
     }
 
