Let times that are too late stand for the latest time

Callers saw: 503 at once for a request whose Deadline-Ms is so large that the deadline does not fit into the clock, as if the deadline had passed. Cause: the sum of a time and a long duration overflowed into the past. Change: sums and differences of times are limited to what can be represented. Tests: PlatformProtocolsSpec "has the latest possible deadline if its own is later" failed before and passes now. MonotonicTimeSpec is new; its tests of late times fail on the former sum.

--- a/core/src/main/kotlin/org/cactuspulley/core/model/MonotonicTime.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/model/MonotonicTime.kt
@@ -12,14 +12,39 @@
  */
 @JvmInline
 public value class MonotonicTime(public val nanoseconds: Long) : Comparable<MonotonicTime> {
-    /** The time [duration] after this one. */
-    public operator fun plus(duration: Duration): MonotonicTime = MonotonicTime(nanoseconds + duration.inWholeNanoseconds)
+    /** The time [duration] after this one, or the latest possible time if that is later. */
+    public operator fun plus(duration: Duration): MonotonicTime {
+        val added = duration.inWholeNanoseconds
+        val sum = nanoseconds + added
+        // The sum has overflowed if its sign differs from the signs of both summands.
+        val overflows = ((nanoseconds xor sum) and (added xor sum)) < 0
+        return MonotonicTime(
+            if (!overflows) {
+                sum
+            } else if (added > 0) {
+                Long.MAX_VALUE
+            } else {
+                Long.MIN_VALUE
+            },
+        )
+    }
 
-    /** The time [duration] before this one. */
-    public operator fun minus(duration: Duration): MonotonicTime = MonotonicTime(nanoseconds - duration.inWholeNanoseconds)
+    /** The time [duration] before this one, or the earliest possible time if that is earlier. */
+    public operator fun minus(duration: Duration): MonotonicTime = this + -duration
 
-    /** The duration from [earlier] to this time. */
-    public operator fun minus(earlier: MonotonicTime): Duration = (nanoseconds - earlier.nanoseconds).nanoseconds
+    /** The duration from [earlier] to this time; infinite if it is too long for a number of nanoseconds. */
+    public operator fun minus(earlier: MonotonicTime): Duration {
+        val difference = nanoseconds - earlier.nanoseconds
+        // The difference has overflowed if the two times differ in sign and the difference has the sign of the earlier one.
+        val overflows = ((nanoseconds xor earlier.nanoseconds) and (nanoseconds xor difference)) < 0
+        return if (!overflows) {
+            difference.nanoseconds
+        } else if (nanoseconds > 0) {
+            Duration.INFINITE
+        } else {
+            -Duration.INFINITE
+        }
+    }
 
     override fun compareTo(other: MonotonicTime): Int = nanoseconds.compareTo(other.nanoseconds)
 
