--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/HostAndPort.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/HostAndPort.kt
@@ -8,7 +8,10 @@
         private const val MAX_PORT = 65_535
         private val FORM = Regex("""(?:\[([^\s\p{Cntrl}\[\]]*:[^\s\p{Cntrl}\[\]]*)]|([^\s\p{Cntrl}:\[\]]+)):([0-9]{1,5})""")
 
-        /** Parses `host:port`, or `[host]:port` for an IPv6 address; returns null if [text] has neither form or the port is out of range. */
+        /**
+         * Parses `host:port`, or `[host]:port` for an IPv6 address; returns null if [text] has neither form or the port is not between
+         * 1 and 65535.
+         */
         public fun parse(text: String): HostAndPort? {
             val (bracketedHost, plainHost, digits) = FORM.matchEntire(text)?.destructured ?: return null
             val port = digits.toInt()
