--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.DefaultEventLoop
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import kotlinx.serialization.ExperimentalSerializationApi
 import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.WeightRollout
 import org.cactuspulley.core.model.InstanceId
@@ -140,6 +141,7 @@
 
 private fun ExchangeSimulation.livePeersOf(index: Int) = instances[index].state.fleet.live(now).map { it.id.text }
 
+@OptIn(ExperimentalSerializationApi::class)
 class DigestExchangeSpec : DescribeSpec({
     describe("a large fleet") {
         it("discovers all its instances although most datagrams stay within a zone") {
@@ -172,6 +174,23 @@
         }
     }
 
+    describe("a bundle with a digest that cannot be decoded") {
+        // Guards against losing the state of a whole zone because one of its instances sends what others cannot read.
+        it("still delivers the other digests, and is passed on within the zone") {
+            simulate(40) {
+                val readable = FleetDigest("i-9", 1, 1, "zone-1", "10.0.0.9:1", "10.0.0.9:2", serves = true)
+                val unreadable = peerCodec.encodeToByteArray(FleetDigest.serializer(), readable).copyOf(20)
+                val digests = listOf(
+                    BundledDigest("i-5", 1, 1, 0, unreadable),
+                    BundledDigest("i-9", 1, 1, 0, peerCodec.encodeToByteArray(FleetDigest.serializer(), readable)),
+                )
+                instances[0].exchange.receive(PeerMessage(bundle = DigestBundle("zone-1", isForwarded = false, digests)))
+                livePeersOf(0) shouldBe listOf("i-9")
+                livePeersOf(4) shouldBe listOf("i-9")
+            }
+        }
+    }
+
     describe("a small fleet") {
         it("exchanges digests in a full mesh") {
             simulate(8) {
