Read on after a record of the product's log that cannot be decoded

Callers saw: an instance that follows the product's own log would have read no further in a stream after such a record, so that withdrawals and configurations after it did not reach it. Cause: bytes missing from or added to a record's arrays raise an index exception, and data that is not base64 an argument exception; both were thrown while a page was passed on, after which nothing reads the next one. Change: both make the record unreadable, which is skipped and counted. Tests: LogRecordCodecSpec "that is cut off or followed by other bytes" failed after 64 attempts before, LogPageRecordSpec with the data '?' failed before; both pass now.

--- a/core/src/main/kotlin/org/cactuspulley/core/record/LogRecord.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/record/LogRecord.kt
@@ -43,5 +43,8 @@
         Err(RecordUnreadable(failure.message.orEmpty()))
     } catch (failure: IllegalArgumentException) {
         Err(RecordUnreadable(failure.message.orEmpty()))
+    } catch (failure: IndexOutOfBoundsException) {
+        // The decoder raises it for an array that is shorter or longer than the type it stands for.
+        Err(RecordUnreadable(failure.toString()))
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/LogClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/LogClient.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpMethod
@@ -236,10 +237,12 @@
 
 /** Decodes this record. A record that this version of the router cannot decode becomes [UnreadableRecord], and [onUnreadable] is called. */
 internal fun LogPageRecord.toStoredRecord(onUnreadable: () -> Unit): StoredRecord {
-    val record = LogRecordCodec.decode(Base64.getDecoder().decode(data)).getOrElse {
-        onUnreadable()
-        UnreadableRecord
+    val bytes = try {
+        Base64.getDecoder().decode(data)
+    } catch (_: IllegalArgumentException) {
+        null
     }
+    val record = bytes?.let { LogRecordCodec.decode(it).get() } ?: UnreadableRecord.also { onUnreadable() }
     return StoredRecord(LogOffset(offset), RecordId(id), record)
 }
 
