Report a request to a port out of range as not sent

An address that does not come from parsed text, as that of a target in the product's own configuration, still made the client throw instead of reporting a result, and the remaining effects of the same event were not executed. Change: the client reports that the request was not sent. Tests: PlatformHttpClientSpec with the ports 99999 and -1 failed before and passes now.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
@@ -71,7 +71,12 @@
         val pending = PendingRequest(address, request, onResult)
         val idleChannel = takeIdleChannel(address)
         if (idleChannel != null) return write(idleChannel, pending)
-        connect(address).addListener { future ->
+        val connection = try {
+            connect(address)
+        } catch (failure: IllegalArgumentException) {
+            return pending.finish(Err(PlatformRequestFailure.NotSent("${failure.message}")))
+        }
+        connection.addListener { future ->
             val channel = (future as ChannelFuture).channel()
             if (future.isSuccess) {
                 write(
