Let an unreadable digest in a bundle cost only itself

Callers saw: nothing shown. In a large fleet, one digest that another version or another sender encodes differently would have kept the state of its whole zone from the instances that receive the bundle, because the rest of the bundle was neither applied nor passed on. Change: the digest is logged and left out. Tests: DigestExchangeSpec "still delivers the other digests, and is passed on within the zone" failed before and passes now.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -235,17 +235,21 @@
     private fun receiveBundle(bundle: DigestBundle) {
         val now = context.clock.now()
         val newDigests = bundle.digests.filter { isNew(InstanceId(it.id), it.incarnation, it.sequence) }
-        newDigests.forEach {
-            processDigest(
-                peerCodec.decodeFromByteArray(FleetDigest.serializer(), it.encoded),
-                now - it.ageMillis.milliseconds,
-                isRelayed = true,
-            )
+        newDigests.forEach { bundled ->
+            decode(bundled)?.let { processDigest(it, now - bundled.ageMillis.milliseconds, isRelayed = true) }
         }
         if (bundle.isForwarded || bundle.zone == self.zone.text) return
         sendTo(PeerMessage(bundle = bundle.copy(isForwarded = true)), addresses(state.fleet.sameZoneMembers))
     }
 
+    /** Decodes one digest of a bundle; returns null if that fails, because the other digests of the bundle are still of use. */
+    private fun decode(bundled: BundledDigest): FleetDigest? = try {
+        peerCodec.decodeFromByteArray(FleetDigest.serializer(), bundled.encoded)
+    } catch (failure: Exception) {
+        context.log.event("digest_unreadable", "peer" to bundled.id, "reason" to failure.toString())
+        null
+    }
+
     private fun isNew(peer: InstanceId, incarnation: Long, sequence: Long): Boolean {
         val known = newestDigests[peer] ?: return peer != self.id
         return known.incarnation != incarnation || known.sequence < sequence
