Believe a refusal only if it names the request, and keep no bytes between responses

Callers saw: 503 with Retry-After for a request that its target ran (RepeatedRefusalSpec). Cause: a response without a request id was taken for the response to the request that waited; bytes that arrived while a connection was idle stayed in its decoder and were joined to the next response; a connection could be reused while the read that delivered its last response was still being processed. Change: a response that names no request or several fails the attempt as one that may have run, and its connection is closed; ExpectedResponseDecoder closes a connection on any byte that no request waits for; the pool hands a connection out again only once the read that delivered its last response has ended; a response to another request without a length fails the attempt at once, since its own response cannot follow.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
@@ -75,7 +75,7 @@
  * The parsed head of a target's response.
  *
  * @property status the HTTP status code.
- * @property request the id of the request that the response belongs to; null if the response does not say.
+ * @property request the id of the request that the response belongs to; null if the response names none or several.
  * @property notRun whether the target guarantees that the request did not run.
  * @property isOtherTarget whether the response came from another target than expected, or from one with other weights.
  * @property target the id that the responding target gives itself; null if it gives none.
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -213,11 +213,12 @@
             it > startedAt
     }
 
-    override fun onHead(response: HttpResponse): Boolean {
+    override fun onHead(response: HttpResponse): ResponseOwner {
         val head = context.targetProtocol.responseHead(response)
-        if (head.request != null && head.request != request.id) {
-            log.foreignResponse(request, target.id, head.request)
-            return false
+        val owner = head.request ?: return ResponseOwner.UNKNOWN
+        if (owner != request.id) {
+            log.foreignResponse(request, target.id, owner)
+            return ResponseOwner.OTHER_REQUEST
         }
         responseHead = head
         this.response = response
@@ -225,7 +226,7 @@
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
         if (grant.route.isStream && head.status in SUCCESS && head.isSigned) beginStream(response)
-        return true
+        return ResponseOwner.THIS_REQUEST
     }
 
     private fun recordActivity() {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
@@ -8,10 +8,10 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.platform.ExpectedResponseDecoder
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,7 +19,10 @@
 
 /** Pools connections to targets; confined to one event loop. */
 internal class TargetConnectionPool(private val loop: EventLoop, private val clock: MonotonicClock) {
-    private class IdleConnection(val channel: Channel, val expiresAt: MonotonicTime)
+    private class IdleConnection(val channel: Channel, val expiresAt: MonotonicTime) {
+        /** Whether everything that arrived together with the last response has been read, so that the connection may be reused. */
+        var isReadToEnd = false
+    }
 
     private val idle = HashMap<TargetId, ArrayDeque<IdleConnection>>()
 
@@ -58,7 +61,9 @@
             channel.close()
             return
         }
-        kept.addLast(IdleConnection(channel, clock.now() + lifetime))
+        val connection = IdleConnection(channel, clock.now() + lifetime)
+        kept.addLast(connection)
+        loop.execute { connection.isReadToEnd = true }
     }
 
     /** Closes the idle connections to [target]. */
@@ -79,17 +84,18 @@
     private fun takeIdle(target: TargetId): Channel? {
         val kept = idle[target] ?: return null
         val now = clock.now()
-        while (kept.isNotEmpty()) {
-            val candidate = kept.removeLast()
+        while (true) {
+            val candidate = kept.lastOrNull { it.isReadToEnd } ?: return null
+            kept.remove(candidate)
             if (candidate.channel.isActive && candidate.expiresAt > now) return candidate.channel
             candidate.channel.close()
         }
-        return null
     }
 
     private object Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder(), TargetResponseHandler())
+            val handler = TargetResponseHandler()
+            channel.pipeline().addLast(HttpRequestEncoder(), ExpectedResponseDecoder { handler.listener != null }, handler)
         }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -6,13 +6,26 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 
+/** The request that a response belongs to. */
+internal enum class ResponseOwner {
+    /** The request of this attempt. */
+    THIS_REQUEST,
+
+    /** Another request; the response to the request of this attempt may follow. */
+    OTHER_REQUEST,
+
+    /** Unknown, so that nothing on the connection can be believed any more. */
+    UNKNOWN,
+}
+
 /** Receives the response to one send attempt; called on the event loop. */
 internal interface TargetResponseListener {
-    /** Called with the head of a response; returns false if it belongs to another request and must be skipped. */
-    fun onHead(response: HttpResponse): Boolean
+    /** Called with the head of a response; returns which request it belongs to. */
+    fun onHead(response: HttpResponse): ResponseOwner
 
     /** Called with bytes of the response body; the implementation must not retain [content]. */
     fun onContent(content: ByteBuf)
@@ -44,15 +57,26 @@
         val receiver = listener
         if (message.decoderResult().isFailure) return fail(context, "invalid response: ${message.decoderResult().cause().message}")
         if (receiver == null) {
-            if (!skipsResponse) context.close()
+            context.close()
             return
         }
         if (message is HttpResponse) {
             if (message.status().code() in INFORMATIONAL) return
-            skipsResponse = !receiver.onHead(message)
-            inResponse = !skipsResponse
+            when (receiver.onHead(message)) {
+                ResponseOwner.THIS_REQUEST -> inResponse = true
+                ResponseOwner.OTHER_REQUEST -> skip(context, message)
+                ResponseOwner.UNKNOWN -> fail(context, "response to an unknown request")
+            }
+        }
+        if (message is HttpContent && listener === receiver) readContent(context, message, receiver)
+    }
+
+    /** Skips [response]. One without a length ends with the connection, so that no other response can follow. */
+    private fun skip(context: ChannelHandlerContext, response: HttpResponse) {
+        if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
+            return fail(context, "response to another request, without a length")
         }
-        if (message is HttpContent) readContent(context, message, receiver)
+        skipsResponse = true
     }
 
     private fun readContent(context: ChannelHandlerContext, message: HttpContent, receiver: TargetResponseListener) {
@@ -62,7 +86,7 @@
         }
         if (!inResponse) return
         if (message.content().isReadable) receiver.onContent(message.content())
-        if (message is LastHttpContent && listener === receiver) end(context, receiver)
+        if (message is LastHttpContent) end(context, receiver)
     }
 
     private fun end(context: ChannelHandlerContext, receiver: TargetResponseListener) {
