Complete a response without a length only by the end that its target sent

Callers could get: a response cut off, as a complete one (TargetResponseHandlerSpec); a stream without any event ended as complete when its target's connection ended (UnframedResponseSpec). Cause: the decoder completes a response without a length whenever its connection becomes inactive, also after a write that failed, which reports no exception to the handler. Change: connections to targets allow half-closure, so that the target's end arrives as an event of its own while the connection is active; any other end is broken. A stream without a length needs one event at least, unless it goes on after earlier ones. A connection is reused only after a response whose end its length or chunks tell.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/EventStreamSplitter.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/EventStreamSplitter.kt
@@ -15,6 +15,10 @@
     var lastEventId: Long? = null
         private set
 
+    /** Whether there has been a complete event. */
+    var hasEvents = false
+        private set
+
     /** Whether the buffer holds the beginning of an incomplete event. */
     val hasPartialEvent: Boolean get() = partial.isReadable
 
@@ -32,6 +36,7 @@
             partial = joined
             return null
         }
+        hasEvents = true
         recordEventIds(joined, end)
         val complete = joined.readRetainedSlice(end - joined.readerIndex())
         if (joined.isReadable) partial = allocator.buffer(joined.readableBytes()).writeBytes(joined)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.PooledByteBufAllocator
 import io.netty.channel.EventLoop
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import org.cactuspulley.core.model.MonotonicTime
@@ -78,9 +77,7 @@
         HASHER.hashStream().putString(path).putByteArray(body).asLong
 
     /** Whether the connection that delivered [response] can be reused for another request. */
-    fun isReusable(response: HttpResponse): Boolean =
-        HttpUtil.isKeepAlive(response) &&
-            (HttpUtil.isContentLengthSet(response) || response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING))
+    fun isReusable(response: HttpResponse): Boolean = HttpUtil.isKeepAlive(response) && response.isFramed
 
     private companion object {
         /** After this time no caller is directed to this instance; the rest of the grace period of 8 s is for streams that have started. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -287,7 +287,7 @@
         events = null
         close()
         releaseOrClose(connection, httpResponse, head)
-        if (stream != null) completeStream(stream, head) else completeBody(httpResponse, head, body)
+        if (stream != null) completeStream(stream, httpResponse, head) else completeBody(httpResponse, head, body)
     }
 
     private fun releaseOrClose(connection: Channel, httpResponse: HttpResponse, head: TargetResponseHead) {
@@ -300,11 +300,15 @@
         }
     }
 
-    private fun completeStream(stream: EventStreamSplitter, head: TargetResponseHead) {
+    private fun completeStream(stream: EventStreamSplitter, httpResponse: HttpResponse, head: TargetResponseHead) {
         if (stream.hasPartialEvent) {
             stream.release()
             return observer.failed(this, SendFailure.BROKEN, "the stream ended within an event")
         }
+        // Before the first event, the end of the connection is a sign of a crash rather than of a stream without events.
+        if (!stream.hasEvents && observer.lastEventId == null && !httpResponse.isFramed) {
+            return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
+        }
         target.health.recordSuccess(context.clock.now())
         observer.streamEnded(this, head.status)
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
@@ -44,6 +44,8 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
+            // Distinguishes the target's own end of a connection, which completes a response without a length, from any other end.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(Initializer)
             .connect(address.host, address.port)
             .addListener { future ->
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -22,6 +23,10 @@
     UNKNOWN,
 }
 
+/** Whether the end of the body can be told without the end of the connection. */
+internal val HttpResponse.isFramed: Boolean
+    get() = HttpUtil.isContentLengthSet(this) || HttpUtil.isTransferEncodingChunked(this)
+
 /** Receives the response to one send attempt; called on the event loop. */
 internal interface TargetResponseListener {
     /** Called with the head of a response; returns which request it belongs to. */
@@ -43,6 +48,7 @@
     var listener: TargetResponseListener? = null
     private var skipsResponse = false
     private var inResponse = false
+    private var endsWithConnection = false
     private var failureReason: String? = null
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -63,8 +69,13 @@
         if (message is HttpResponse) {
             if (message.status().code() in INFORMATIONAL) return
             when (receiver.onHead(message)) {
-                ResponseOwner.THIS_REQUEST -> inResponse = true
+                ResponseOwner.THIS_REQUEST -> {
+                    inResponse = true
+                    endsWithConnection = !message.isFramed
+                }
+
                 ResponseOwner.OTHER_REQUEST -> skip(context, message)
+
                 ResponseOwner.UNKNOWN -> fail(context, "response to an unknown request")
             }
         }
@@ -73,9 +84,7 @@
 
     /** Skips [response]. One without a length ends with the connection, so that no other response can follow. */
     private fun skip(context: ChannelHandlerContext, response: HttpResponse) {
-        if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
-            return fail(context, "response to another request, without a length")
-        }
+        if (!response.isFramed) return fail(context, "response to another request, without a length")
         skipsResponse = true
     }
 
@@ -86,17 +95,23 @@
         }
         if (!inResponse) return
         if (message.content().isReadable) receiver.onContent(message.content())
-        if (message is LastHttpContent) end(context, receiver)
+        if (message is LastHttpContent && listener === receiver) end(context, receiver)
     }
 
     private fun end(context: ChannelHandlerContext, receiver: TargetResponseListener) {
         val reason = failureReason
         if (reason != null) return fail(context, reason)
+        // The decoder completes such a response whenever the connection ends; only the end that the target sent makes it complete.
+        if (endsWithConnection && !context.channel().isActive) return fail(context, "connection closed")
         inResponse = false
         listener = null
         receiver.onEnd()
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) fail(context, failureReason ?: "connection closed")
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         fail(context, failureReason ?: "connection closed")
     }
