Limit the memory and the time that a target's response can take

Callers saw: 504 at the deadline from a target whose answer has no end; an instance could be killed for its memory. Cause: a body was collected, and an incomplete event kept, without a limit; a response to another request and informational responses were read without a limit; a response to a caller that had left was read for ever where the request may not be cancelled. A request whose caller has left ends at its deadline at the latest. A plain response that has begun but is not complete after the objective counts as a failure of its target at the deadline. The search for the end of an event starts where the last one ended, as it took time with the square of an event's size.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/EventStreamSplitter.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/EventStreamSplitter.kt
@@ -22,8 +22,12 @@
     /** Whether the buffer holds the beginning of an incomplete event. */
     val hasPartialEvent: Boolean get() = partial.isReadable
 
+    /** The number of bytes of the incomplete event. */
+    val partialEventBytes: Int get() = partial.readableBytes()
+
     /** Adds [content] and returns the events that are now complete, or null if there are none. The caller must release the result. */
     fun accept(content: ByteBuf): ByteBuf? {
+        val searchedBytes = partial.readableBytes()
         val joined = if (partial.isReadable) {
             allocator.buffer(partial.readableBytes() + content.readableBytes()).writeBytes(partial).writeBytes(content)
         } else {
@@ -31,7 +35,7 @@
         }
         partial.release()
         partial = Unpooled.EMPTY_BUFFER
-        val end = lastBoundary(joined)
+        val end = lastBoundary(joined, joined.readerIndex() + searchedBytes)
         if (end < 0) {
             partial = joined
             return null
@@ -50,10 +54,10 @@
         partial = Unpooled.EMPTY_BUFFER
     }
 
-    /** Returns the index after the last empty line, or -1 if there is none. */
-    private fun lastBoundary(buffer: ByteBuf): Int {
+    /** Returns the index after the last empty line, or -1 if none ends at [searchStart] or later. */
+    private fun lastBoundary(buffer: ByteBuf, searchStart: Int): Int {
         var index = buffer.writerIndex() - 1
-        while (index > buffer.readerIndex()) {
+        while (index >= searchStart && index > buffer.readerIndex()) {
             if (buffer.getByte(index) == LINE_FEED && previousLineEnds(buffer, index)) return index + 1
             index--
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -179,7 +179,8 @@
         if (ended) return
         val outstanding = currentAttempt
         val sent = outstanding?.isWritten == true
-        outstanding?.cancel(SendFailure.SILENT.takeIf { sent && !outstanding.hasResponse && exceedsObjective() })
+        val isFailure = sent && (!outstanding.hasResponse || !grant.route.isStream) && exceedsObjective()
+        outstanding?.cancel(SendFailure.SILENT.takeIf { isFailure })
         // A request that was sent may have run, so its charge is not refunded.
         if (sent) charged = 0.0
         giveUp(progress.timedOut(sent))
@@ -193,11 +194,11 @@
         if (ended) return
         finish()
         log.abandoned(request, progress.sentAttempts, context.clock.now() - arrivedAt)
-        val outstanding = currentAttempt
-        if (outstanding != null &&
-            (grant.route.isStream || grant.route.repeatability != Repeatability.AT_MOST_ONCE)
-        ) {
+        val outstanding = currentAttempt ?: return
+        if (grant.route.isStream || grant.route.repeatability != Repeatability.AT_MOST_ONCE) {
             outstanding.cancel(null)
+        } else {
+            context.schedule(progress.deadline - context.clock.now()) { outstanding.cancel(null) }
         }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -39,6 +39,9 @@
     /** The allocator of all buffers of the exchanges. */
     val allocator: ByteBufAllocator = PooledByteBufAllocator.DEFAULT
 
+    /** The memory of the responses that are held until they are complete. */
+    val responseMemory = ResponseMemory()
+
     private var digestPending = false
 
     /** The exchanges that have not ended. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -90,6 +90,7 @@
     private var response: HttpResponse? = null
     private var bodyBuffer: ByteBuf = Unpooled.EMPTY_BUFFER
     private var events: EventStreamSplitter? = null
+    private val memory = context.responseMemory.Share()
     private var silenceTimer: Future<*>? = null
     private var responsivenessTimer: Future<*>? = null
     private var isClosed = false
@@ -253,9 +254,15 @@
         val stream = events
         if (stream == null) {
             collect(content)
+            if (!memory.resize(bodyBuffer.readableBytes())) exceedLimit("body")
             return
         }
-        val completeEvents = stream.accept(content) ?: return
+        val completeEvents = stream.accept(content)
+        if (!memory.resize(stream.partialEventBytes)) {
+            completeEvents?.release()
+            return exceedLimit("event")
+        }
+        if (completeEvents == null) return
         markRunning()
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
     }
@@ -269,6 +276,12 @@
         if (state.cache.hasUrgentNotices) context.scheduleDigest()
     }
 
+    /** Gives up a response that is held in memory until it, or an event of it, is complete, and that may have no end. */
+    private fun exceedLimit(part: String) {
+        cancel(null)
+        observer.failed(this, SendFailure.BROKEN, "the $part is too large")
+    }
+
     private fun collect(content: ByteBuf) {
         if (!bodyBuffer.isReadable) {
             bodyBuffer = context.allocator.buffer(content.readableBytes())
@@ -371,6 +384,7 @@
         target.load.add(-units)
         silenceTimer?.cancel(false)
         responsivenessTimer?.cancel(false)
+        memory.resize(0)
         observer.closed(this)
         events?.release()
         if (bodyBuffer.refCnt() > 0 && bodyBuffer !== Unpooled.EMPTY_BUFFER) bodyBuffer.release()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -47,6 +47,10 @@
     /** The attempt that waits for a response; null while the connection is idle. */
     var listener: TargetResponseListener? = null
     private var skipsResponse = false
+    private var skippedBytes = 0
+
+    /** The informational responses since the last final one. */
+    private var informationalResponses = 0
     private var inResponse = false
     private var endsWithConnection = false
     private var failureReason: String? = null
@@ -67,7 +71,10 @@
             return
         }
         if (message is HttpResponse) {
-            if (message.status().code() in INFORMATIONAL) return
+            if (isInformational(message)) {
+                if (++informationalResponses > MAX_INFORMATIONAL_RESPONSES) fail(context, "too many informational responses")
+                return
+            }
             when (receiver.onHead(message)) {
                 ResponseOwner.THIS_REQUEST -> {
                     inResponse = true
@@ -86,10 +93,15 @@
     private fun skip(context: ChannelHandlerContext, response: HttpResponse) {
         if (!response.isFramed) return fail(context, "response to another request, without a length")
         skipsResponse = true
+        skippedBytes = 0
     }
 
+    private fun isInformational(response: HttpResponse) = response.status().code().let { it in INFORMATIONAL && it != SWITCHING_PROTOCOLS }
+
     private fun readContent(context: ChannelHandlerContext, message: HttpContent, receiver: TargetResponseListener) {
         if (skipsResponse) {
+            skippedBytes += message.content().readableBytes()
+            if (skippedBytes > MAX_SKIPPED_BYTES) return fail(context, "response to another request, too large")
             if (message is LastHttpContent) skipsResponse = false
             return
         }
@@ -104,6 +116,7 @@
         // The decoder completes such a response whenever the connection ends; only the end that the target sent makes it complete.
         if (endsWithConnection && !context.channel().isActive) return fail(context, "connection closed")
         inResponse = false
+        informationalResponses = 0
         listener = null
         receiver.onEnd()
     }
@@ -133,5 +146,14 @@
     private companion object {
         /** The status codes of informational responses, which precede the final response. */
         val INFORMATIONAL = 100..199
+
+        /** Ends HTTP on the connection; no request asks for it. */
+        const val SWITCHING_PROTOCOLS = 101
+
+        /** No request asks for informational responses, of which a response usually has one at most. */
+        const val MAX_INFORMATIONAL_RESPONSES = 8
+
+        /** As large as the largest response that is accepted. */
+        const val MAX_SKIPPED_BYTES = 1024 * 1024
     }
 }
