Read no earlier answer as that of a later call to the store or a target

Callers saw: an order or a store call taken as refused because of bytes after the answer to another call (PlatformHttpClientSpec). Cause: bytes after a response stayed in the decoder or the aggregator of the pooled connection; an informational response ended a call; answers of up to 64 MiB were held, where an instance has about 95 MB of heap. Open: a whole answer that arrives after the next call was written can't be told from its own, as these answers name no request.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
@@ -16,10 +16,11 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import java.util.concurrent.ConcurrentHashMap
@@ -57,10 +58,13 @@
 /**
  * A non-blocking HTTP/1.1 client for platform services. Idle connections are pooled and reused. A request that times out
  * closes its connection.
+ *
+ * @param maximumResponseBytes the maximum size of a response. A request whose response is larger fails.
  */
 public class PlatformHttpClient(
     private val group: EventLoopGroup,
     private val connectTimeout: Duration = 500.milliseconds,
+    private val maximumResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
 ) : AutoCloseable {
     private val idleChannels = ConcurrentHashMap<HostAndPort, ConcurrentLinkedDeque<Channel>>()
     private val isClosed = AtomicBoolean()
@@ -70,14 +74,15 @@
         if (isClosed.get()) return onResult(Err(PlatformRequestFailure.NotSent("closed")))
         val pending = PendingRequest(address, request, onResult)
         val idleChannel = takeIdleChannel(address)
-        if (idleChannel != null) return write(idleChannel, pending)
-        connect(address).addListener { future ->
+        // The service, or bytes that belong to no request, may have closed a pooled connection before the request is written.
+        if (idleChannel != null) write(idleChannel, pending, ifClosed = { connectAndWrite(pending) }) else connectAndWrite(pending)
+    }
+
+    private fun connectAndWrite(pending: PendingRequest) {
+        connect(pending.address).addListener { future ->
             val channel = (future as ChannelFuture).channel()
             if (future.isSuccess) {
-                write(
-                    channel,
-                    pending,
-                )
+                write(channel, pending, ifClosed = { pending.finish(Err(PlatformRequestFailure.NotSent("connection closed"))) })
             } else {
                 pending.finish(Err(PlatformRequestFailure.NotSent("${future.cause().message}")))
             }
@@ -97,16 +102,13 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
         .option(ChannelOption.TCP_NODELAY, true)
-        .handler(PipelineInitializer)
+        .handler(PipelineInitializer(maximumResponseBytes))
         .connect(address.host, address.port)
 
-    private fun write(channel: Channel, pending: PendingRequest) {
+    private fun write(channel: Channel, pending: PendingRequest, ifClosed: () -> Unit) {
         channel.eventLoop().execute {
             val handler = channel.pipeline().get(ResponseHandler::class.java)
-            if (handler == null || !channel.isActive) {
-                pending.finish(Err(PlatformRequestFailure.NotSent("connection closed")))
-                return@execute
-            }
+            if (handler == null || !channel.isActive) return@execute ifClosed()
             handler.pending = pending
             handler.release = { returnToPool(pending.address, channel) }
             val timer = channel.eventLoop().schedule(
@@ -141,15 +143,17 @@
         idleChannels.values.forEach { channels -> channels.forEach { it.close() } }
     }
 
-    private object PipelineInitializer : ChannelInitializer<Channel>() {
+    private class PipelineInitializer(private val maximumResponseBytes: Int) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAX_RESPONSE_BYTES), ResponseHandler())
+            val handler = ResponseHandler()
+            val decoder = ExpectedResponseDecoder { handler.pending != null }
+            channel.pipeline().addLast(HttpRequestEncoder(), decoder, HttpObjectAggregator(maximumResponseBytes), handler)
         }
     }
 
     private companion object {
         const val MAX_IDLE_CONNECTIONS_PER_ADDRESS = 8
-        const val MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+        const val DEFAULT_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
     }
 }
 
@@ -176,6 +180,7 @@
 
     override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
         val completed = pending ?: return
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
         pending = null
         val platformResponse = PlatformResponse(response.status().code(), ByteBufUtil.getBytes(response.content()))
         if (HttpUtil.isKeepAlive(response)) release() else context.close()
