--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -90,6 +90,7 @@
     private var response: HttpResponse? = null
     private var bodyBuffer: ByteBuf = Unpooled.EMPTY_BUFFER
     private var events: EventStreamSplitter? = null
+    private val memory = context.responseMemory.Share()
     private var silenceTimer: Future<*>? = null
     private var responsivenessTimer: Future<*>? = null
     private var isClosed = false
@@ -224,11 +225,12 @@
             it > startedAt
     }
 
-    override fun onHead(response: HttpResponse): Boolean {
+    override fun onHead(response: HttpResponse): ResponseOwner {
         val head = context.targetProtocol.responseHead(response)
-        if (head.request != null && head.request != request.id) {
-            log.foreignResponse(request, target.id, head.request)
-            return false
+        val owner = head.request ?: return ResponseOwner.UNKNOWN
+        if (owner != request.id) {
+            log.foreignResponse(request, target.id, owner)
+            return ResponseOwner.OTHER_REQUEST
         }
         responseHead = head
         this.response = response
@@ -236,7 +238,7 @@
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
         if (grant.route.isStream && head.status in SUCCESS && head.isSigned) beginStream(response)
-        return true
+        return ResponseOwner.THIS_REQUEST
     }
 
     private fun recordActivity() {
@@ -264,9 +266,15 @@
         val stream = events
         if (stream == null) {
             collect(content)
+            if (!memory.resize(bodyBuffer.readableBytes())) exceedLimit("body")
             return
         }
-        val completeEvents = stream.accept(content) ?: return
+        val completeEvents = stream.accept(content)
+        if (!memory.resize(stream.partialEventBytes)) {
+            completeEvents?.release()
+            return exceedLimit("event")
+        }
+        if (completeEvents == null) return
         if (!hasEvents) request.prompt?.let { context.pieces.answerBegan(it, lastActivityAt) }
         hasEvents = true
         markRunning()
@@ -282,6 +290,12 @@
         if (state.cache.hasUrgentNotices) context.scheduleDigest()
     }
 
+    /** Gives up a response that is held in memory until it, or an event of it, is complete, and that may have no end. */
+    private fun exceedLimit(part: String) {
+        cancel(null)
+        observer.failed(this, SendFailure.BROKEN, "the $part is too large")
+    }
+
     private fun collect(content: ByteBuf) {
         if (!bodyBuffer.isReadable) {
             bodyBuffer = context.allocator.buffer(content.readableBytes())
@@ -300,7 +314,7 @@
         events = null
         close()
         releaseOrClose(connection, httpResponse, head)
-        if (stream != null) completeStream(stream, head) else completeBody(httpResponse, head, body)
+        if (stream != null) completeStream(stream, httpResponse, head) else completeBody(httpResponse, head, body)
     }
 
     private fun releaseOrClose(connection: Channel, httpResponse: HttpResponse, head: TargetResponseHead) {
@@ -313,11 +327,15 @@
         }
     }
 
-    private fun completeStream(stream: EventStreamSplitter, head: TargetResponseHead) {
+    private fun completeStream(stream: EventStreamSplitter, httpResponse: HttpResponse, head: TargetResponseHead) {
         if (stream.hasPartialEvent) {
             stream.release()
             return observer.failed(this, SendFailure.BROKEN, "the stream ended within an event")
         }
+        // Before the first event, the end of the connection is a sign of a crash rather than of a stream without events.
+        if (!stream.hasEvents && observer.lastEventId == null && !httpResponse.isFramed) {
+            return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
+        }
         target.health.recordSuccess(context.clock.now())
         observer.streamEnded(this, head.status)
     }
@@ -390,6 +408,7 @@
         target.load.add(-units)
         silenceTimer?.cancel(false)
         responsivenessTimer?.cancel(false)
+        memory.resize(0)
         observer.closed(this)
         events?.release()
         if (bodyBuffer.refCnt() > 0 && bodyBuffer !== Unpooled.EMPTY_BUFFER) bodyBuffer.release()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -3,16 +3,34 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 
+/** The request that a response belongs to. */
+internal enum class ResponseOwner {
+    /** The request of this attempt. */
+    THIS_REQUEST,
+
+    /** Another request; the response to the request of this attempt may follow. */
+    OTHER_REQUEST,
+
+    /** Unknown, so that nothing on the connection can be believed any more. */
+    UNKNOWN,
+}
+
+/** Whether the end of the body can be told without the end of the connection. */
+internal val HttpResponse.isFramed: Boolean
+    get() = HttpUtil.isContentLengthSet(this) || HttpUtil.isTransferEncodingChunked(this)
+
 /** Receives the response to one send attempt; called on the event loop. */
 internal interface TargetResponseListener {
-    /** Called with the head of a response; returns false if it belongs to another request and must be skipped. */
-    fun onHead(response: HttpResponse): Boolean
+    /** Called with the head of a response; returns which request it belongs to. */
+    fun onHead(response: HttpResponse): ResponseOwner
 
     /** Called with bytes of the response body; the implementation must not retain [content]. */
     fun onContent(content: ByteBuf)
@@ -29,7 +47,12 @@
     /** The attempt that waits for a response; null while the connection is idle. */
     var listener: TargetResponseListener? = null
     private var skipsResponse = false
+    private var skippedBytes = 0
+
+    /** The informational responses since the last final one. */
+    private var informationalResponses = 0
     private var inResponse = false
+    private var endsWithConnection = false
     private var failureReason: String? = null
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -44,19 +67,41 @@
         val receiver = listener
         if (message.decoderResult().isFailure) return fail(context, "invalid response: ${message.decoderResult().cause().message}")
         if (receiver == null) {
-            if (!skipsResponse) context.close()
+            context.close()
             return
         }
         if (message is HttpResponse) {
-            if (message.status().code() in INFORMATIONAL) return
-            skipsResponse = !receiver.onHead(message)
-            inResponse = !skipsResponse
+            if (isInformational(message)) {
+                if (++informationalResponses > MAX_INFORMATIONAL_RESPONSES) fail(context, "too many informational responses")
+                return
+            }
+            when (receiver.onHead(message)) {
+                ResponseOwner.THIS_REQUEST -> {
+                    inResponse = true
+                    endsWithConnection = !message.isFramed
+                }
+
+                ResponseOwner.OTHER_REQUEST -> skip(context, message)
+
+                ResponseOwner.UNKNOWN -> fail(context, "response to an unknown request")
+            }
         }
-        if (message is HttpContent) readContent(context, message, receiver)
+        if (message is HttpContent && listener === receiver) readContent(context, message, receiver)
     }
 
+    /** Skips [response]. One without a length ends with the connection, so that no other response can follow. */
+    private fun skip(context: ChannelHandlerContext, response: HttpResponse) {
+        if (!response.isFramed) return fail(context, "response to another request, without a length")
+        skipsResponse = true
+        skippedBytes = 0
+    }
+
+    private fun isInformational(response: HttpResponse) = response.status().code().let { it in INFORMATIONAL && it != SWITCHING_PROTOCOLS }
+
     private fun readContent(context: ChannelHandlerContext, message: HttpContent, receiver: TargetResponseListener) {
         if (skipsResponse) {
+            skippedBytes += message.content().readableBytes()
+            if (skippedBytes > MAX_SKIPPED_BYTES) return fail(context, "response to another request, too large")
             if (message is LastHttpContent) skipsResponse = false
             return
         }
@@ -68,11 +113,18 @@
     private fun end(context: ChannelHandlerContext, receiver: TargetResponseListener) {
         val reason = failureReason
         if (reason != null) return fail(context, reason)
+        // The decoder completes such a response whenever the connection ends; only the end that the target sent makes it complete.
+        if (endsWithConnection && !context.channel().isActive) return fail(context, "connection closed")
         inResponse = false
+        informationalResponses = 0
         listener = null
         receiver.onEnd()
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) fail(context, failureReason ?: "connection closed")
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         fail(context, failureReason ?: "connection closed")
     }
@@ -94,5 +146,14 @@
     private companion object {
         /** The status codes of informational responses, which precede the final response. */
         val INFORMATIONAL = 100..199
+
+        /** Ends HTTP on the connection; no request asks for it. */
+        const val SWITCHING_PROTOCOLS = 101
+
+        /** No request asks for informational responses, of which a response usually has one at most. */
+        const val MAX_INFORMATIONAL_RESPONSES = 8
+
+        /** As large as the largest response that is accepted. */
+        const val MAX_SKIPPED_BYTES = 1024 * 1024
     }
 }
