Do not take a restarted instance for live at its former address

Cause: a heartbeat tells an incarnation and a state but no addresses. That of a restarted instance, arriving before its announcement, gave the known instance the new incarnation and made it live at the former address; the announcement was then no news, until the list was read again. Change: a heartbeat of a newer incarnation counts as contact only; the announcement or the list makes the incarnation known. Result: the test saw the instance live at its former address before, and does not now.

--- a/core/src/main/kotlin/org/cactuspulley/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/membership/MembershipPart.kt
@@ -116,7 +116,8 @@
     private fun recordHeartbeat(id: InstanceId, incarnation: InstanceIncarnation, state: InstanceState, now: MonotonicTime) {
         val before = knownInstances[id] ?: return
         if (incarnation < before.instance.incarnation) return
-        val updated = before.instance.copy(incarnation = incarnation, state = state)
+        // A heartbeat tells no addresses, so a newer incarnation becomes known by its announcement or by the list.
+        val updated = if (incarnation == before.instance.incarnation) before.instance.copy(state = state) else before.instance
         val isNewer = before.instance.isOlderThan(updated)
         knownInstances[id] = before.copy(instance = if (isNewer) updated else before.instance, lastContact = now)
         hasChanged = hasChanged || isNewer
--- a/core/src/test/kotlin/org/cactuspulley/core/membership/MembershipPartSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/membership/MembershipPartSpec.kt
@@ -6,9 +6,15 @@
 import io.kotest.matchers.shouldBe
 import org.cactuspulley.core.configuration.FleetSimulation
 import org.cactuspulley.core.configuration.servingFleet
+import org.cactuspulley.core.event.InstancesListed
+import org.cactuspulley.core.event.PeerMessageReceived
 import org.cactuspulley.core.event.StopRequested
+import org.cactuspulley.core.message.Heartbeat
+import org.cactuspulley.core.message.InstanceSpread
+import org.cactuspulley.core.message.PeerMessage
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.InstanceIncarnation
+import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.ZoneName
 import kotlin.time.Duration.Companion.seconds
 
@@ -35,6 +41,29 @@
         }
     }
 
+    describe("an instance that starts again at another address") {
+        val part = MembershipPart(Instance(InstanceId("i0"), InstanceIncarnation(1), "10.0.0.1:80", "10.0.0.1:70", ZoneName("z0")))
+        val restarted = Instance(InstanceId("i1"), InstanceIncarnation(2), "10.0.0.3:80", "10.0.0.3:70", ZoneName("z0"))
+        val former = restarted.copy(
+            incarnation = InstanceIncarnation(1),
+            address = "10.0.0.2:80",
+            peerAddress = "10.0.0.2:70",
+            state = InstanceState.LEAVING,
+        )
+        val now = MonotonicTime.ZERO + 100.seconds
+
+        fun receive(message: PeerMessage) = part.handle(PeerMessageReceived(restarted.id, message), now)
+
+        // Guards against entry answers that name the address of a process that has ended.
+        it("is not known as live at its former address when its heartbeat arrives before its announcement") {
+            part.handle(InstancesListed(listOf(former), 1, now), now)
+            receive(Heartbeat(1, restarted.incarnation, InstanceState.LIVE, 0, 0, 0, needsEvidence = false))
+            part.membership.live.map { it.address } shouldBe listOf("10.0.0.1:80")
+            receive(InstanceSpread(restarted))
+            part.membership.instances[restarted.id] shouldBe restarted
+        }
+    }
+
     describe("an instance that leaves") {
         it("is known to be leaving on every instance within 1 s, although the list lags") {
             val fleet = servingFleet(seed = 3)
