--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -334,6 +334,7 @@
         }
         // Before the first event, the end of the connection is a sign of a crash rather than of a stream without events.
         if (!stream.hasEvents && observer.lastEventId == null && !httpResponse.isFramed) {
+            reportSuspectedCrash()
             return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
         }
         target.health.recordSuccess(context.clock.now())
