--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightsLimits.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightsLimits.kt
@@ -38,13 +38,13 @@
         /** The time after its start for which an instance counts as disturbed. */
         val START_UP_PERIOD = 3_000.milliseconds
 
-        /** The time that most requests wait at a target at most. */
+        /** The usual longest wait at a target; a request that waits longer is withdrawn. */
         val SEND_MARGIN = 1_500.milliseconds
 
         /** The time that the withdrawal may take: the interval of the check, a delay of the event loop and the way to the target. */
         val WITHDRAWAL_MARGIN = 500.milliseconds
 
-        /** A start on older weights is not penalized for 1.5 s; the rest of that time is for the first token. */
+        /** Starts on older weights are penalized after 1.5 s; a request that is sent by this time usually begins before that. */
         val PREFERENCE_LIMIT = 1_200.milliseconds
     }
 }
