Name the quarantine of pieces in the forwarding context

Cause: reading the change as a newcomer; context.pieces does not say what it does. Change: the property is pieceQuarantine; no behavior changes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -221,9 +221,9 @@
             },
             failingStores = state.cache.unresponsiveStores,
             crashes = crashes.map { it.first },
-            pieceCrashes = context.pieces.crashNotices(now),
-            soundPieces = context.pieces.soundNotices(now),
-            pieceQuarantines = context.pieces.quarantineNotices(now),
+            pieceCrashes = context.pieceQuarantine.crashNotices(now),
+            soundPieces = context.pieceQuarantine.soundNotices(now),
+            pieceQuarantines = context.pieceQuarantine.quarantineNotices(now),
         )
     }
 
@@ -305,7 +305,7 @@
         }
         digest.failingStores.forEach { state.cache.recordPeerStoreFailure(it, until, context.clock.now()) }
         digest.crashes.forEach { state.crashes.add(it, at) }
-        context.pieces.receive(peer, digest, at)
+        context.pieceQuarantine.receive(peer, digest, at)
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -86,7 +86,7 @@
         if (state.crashes.verdict(requestFingerprint, arrivedAt) is QuarantineVerdict.Quarantined) {
             return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
         }
-        context.pieces.verdict(request.prompt, arrivedAt)?.let { quarantined ->
+        context.pieceQuarantine.verdict(request.prompt, arrivedAt)?.let { quarantined ->
             log.quarantined(request, quarantined)
             return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
         }
@@ -182,7 +182,7 @@
     fun withdrawIfQuarantined(): Boolean {
         val outstanding = currentAttempt
         if (ended || outstanding?.hasEvents == true) return false
-        val quarantined = context.pieces.verdict(request.prompt, context.clock.now()) ?: return false
+        val quarantined = context.pieceQuarantine.verdict(request.prompt, context.clock.now()) ?: return false
         log.quarantined(request, quarantined)
         val mayHaveRun = progress.mayHaveRun || outstanding?.isWritten == true
         outstanding?.cancel(null)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -40,8 +40,8 @@
     /** The allocator of all buffers of the exchanges. */
     val allocator: ByteBufAllocator = PooledByteBufAllocator.DEFAULT
 
-    /** The pieces of prompts that crash targets. */
-    val pieces = PieceQuarantineExchange(this) { sendToAll() }
+    /** The quarantine of the pieces of prompts that crash targets. */
+    val pieceQuarantine = PieceQuarantineExchange(this) { sendToAll() }
 
     /** The memory of the responses that are held until they are complete. */
     val responseMemory = ResponseMemory()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -275,7 +275,7 @@
             return exceedLimit("event")
         }
         if (completeEvents == null) return
-        if (!hasEvents) request.prompt?.let { context.pieces.answerBegan(it, lastActivityAt) }
+        if (!hasEvents) request.prompt?.let { context.pieceQuarantine.answerBegan(it, lastActivityAt) }
         hasEvents = true
         markRunning()
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
@@ -356,7 +356,7 @@
             return observer.failed(this, failure ?: SendFailure.BROKEN, "status ${head.status}")
         }
         target.health.recordSuccess(context.clock.now())
-        request.prompt?.let { context.pieces.answerBegan(it, context.clock.now()) }
+        request.prompt?.let { context.pieceQuarantine.answerBegan(it, context.clock.now()) }
         observer.responseReceived(this, httpResponse, head.status, body)
     }
 
@@ -384,7 +384,7 @@
         val prompt = request.prompt ?: return
         val address = HostAndPort.parse(target.entry.address) ?: return
         val mayHaveCrashed = if (grant.route.isStream) hasResponse && !hasEvents else !hasResponse
-        if (mayHaveCrashed) context.pieces.connectionBroke(target, address, prompt, context.clock.now())
+        if (mayHaveCrashed) context.pieceQuarantine.connectionBroke(target, address, prompt, context.clock.now())
     }
 
     /** Pauses or resumes reading from the target. */
