--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -174,7 +174,7 @@
             simulation.claims shouldBe 1
         }
 
-        // A former holder that had stood still reported its old claim, so nobody took over from the newer holder that had stopped.
+        // Guards against a claim that nobody takes over, because a former holder's report hides that the newest holder has stopped.
         it("of the newest holder is taken over after its lease although a former holder still reports an older one") {
             val simulation = RolloutSimulation(1)
             simulation.fleet.recordContact(member("i-2"), serves = true, reachesStore = true, START)
