Keep the following of the target registry in one class, and simulate it

Cause: whose turn it is to read the registry, its listener and what peers relay of it were spread over two classes and could not be tested without sockets. Change: TargetRegistry holds them; the simulation of digest exchanges, now a file of its own in virtual time, gives its instances a registry that they read, with refused reads, deleted history and restarts. No behavior changes.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -35,6 +35,9 @@
 
     private val peers = LinkedHashMap<InstanceId, Peer>()
 
+    /** The id of this instance. */
+    public val selfId: InstanceId get() = self.id
+
     /** Whether this instance serves requests; it is reported to callers and peers. */
     public var selfServes: Boolean = false
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -33,7 +33,7 @@
     private val self: FleetMember,
     private val rollout: WeightRollout,
     private val operations: StoreFollower,
-    private val registry: StoreFollower,
+    private val registry: TargetRegistry,
     private val onUpdate: () -> Unit,
     private val sendTo: (PeerMessage, List<HostAndPort>) -> Unit,
 ) {
@@ -62,14 +62,6 @@
     /** Since when some peer has been ahead of this instance in the operators' topic; null if none is. */
     private var laggingSince: MonotonicTime? = null
 
-    /** The instance that read the registry last; null if none is known. */
-    var lastRegistryReader: InstanceId? = null
-        private set
-
-    /** When this instance last received the registry's records, by its own read or from a peer; null if never. */
-    var registryKnownAt: MonotonicTime? = null
-        private set
-
     /**
      * Whether this instance reads the operators' topic itself. It does if it is one of the fleet's readers, or if a peer has
      * been ahead for a while without its records arriving here; those may not fit into a datagram.
@@ -147,17 +139,15 @@
 
     /** Sends the records that this instance has just read from the registry to all live peers. */
     fun registryWasRead(from: Long?, changed: List<KeyedRecord>) {
-        lastRegistryReader = self.id
-        registryKnownAt = context.clock.now()
-        sendRecords(registry, StoreTopic.REGISTRY, from, changed)
+        sendRecords(registry.replica, StoreTopic.REGISTRY, from, changed)
     }
 
     /** Sends the operators' records that this instance has just read to all live peers. */
-    fun operationsWereRead(from: Long?, changed: List<KeyedRecord>) = sendRecords(operations, StoreTopic.OPERATIONS, from, changed)
+    fun operationsWereRead(from: Long?, changed: List<KeyedRecord>) = sendRecords(operations.replica, StoreTopic.OPERATIONS, from, changed)
 
-    private fun sendRecords(follower: StoreFollower, topic: StoreTopic, from: Long?, changed: List<KeyedRecord>) {
+    private fun sendRecords(replica: TopicReplica, topic: StoreTopic, from: Long?, changed: List<KeyedRecord>) {
         val now = context.clock.now()
-        val next = follower.replica.next ?: return
+        val next = replica.next ?: return
         if (from == null) return
         val range = RelayedRange(topic, from, next, changed.map(::toRelayed))
         val digest = ownDigest(now).let { if (state.fleet.isLarge) it.withoutState() else it }
@@ -181,14 +171,14 @@
 
     private fun missingRanges(peer: PeerPosition): List<RelayedRange> =
         listOfNotNull(
-            missingRange(operations, StoreTopic.OPERATIONS, peer.operationsNext),
-            missingRange(registry, StoreTopic.REGISTRY, peer.registryNext),
+            missingRange(operations.replica, StoreTopic.OPERATIONS, peer.operationsNext),
+            missingRange(registry.replica, StoreTopic.REGISTRY, peer.registryNext),
         )
 
-    private fun missingRange(follower: StoreFollower, topic: StoreTopic, from: Long?): RelayedRange? {
-        val next = follower.replica.next ?: return null
+    private fun missingRange(replica: TopicReplica, topic: StoreTopic, from: Long?): RelayedRange? {
+        val next = replica.next ?: return null
         if (from != null && from >= next) return null
-        return RelayedRange(topic, from, next, follower.replica.since(from).map(::toRelayed))
+        return RelayedRange(topic, from, next, replica.since(from).map(::toRelayed))
     }
 
     private fun toRelayed(record: KeyedRecord) = RelayedRecord(record.key, record.offset, record.value)
@@ -316,13 +306,7 @@
         when (range.topic) {
             StoreTopic.OPERATIONS -> operations.applyRelayed(range)
 
-            StoreTopic.REGISTRY -> {
-                registry.applyRelayed(range)
-                if (registry.replica.next == range.next) {
-                    lastRegistryReader = peer
-                    registryKnownAt = now
-                }
-            }
+            StoreTopic.REGISTRY -> registry.applyRelayed(peer, range, now)
 
             StoreTopic.INSTANCES, StoreTopic.CLAIMS -> context.log.event("relay_ignored", "topic" to range.topic.name)
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -14,14 +14,12 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
-import org.cactuspulley.core.forwarding.DirectoryChange
 import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.RolloutSettings
 import org.cactuspulley.core.forwarding.WeightRollout
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.InstanceIncarnation
 import org.cactuspulley.core.model.MonotonicTime
-import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.metrics.RouterMetrics
@@ -108,7 +106,7 @@
         OperationsListener(),
         longReadWait = { LongReadWaits.operations(state.fleet.isFirstStoreReader(clock.now())) },
     ) { digests.shouldReadOperations(clock.now()) }
-    private val registry = StoreFollower(context, ports.store, StoreTopic.REGISTRY, RegistryListener(), null) { false }
+    private val registry: TargetRegistry = TargetRegistry(context, ports.store, ports.records) { rolloutDriver.advance() }
     private val instances = StoreFollower(context, ports.store, StoreTopic.INSTANCES, InstancesListener(), { LongReadWaits.INSTANCES }) {
         state.fleet.isStoreReader(clock.now())
     }
@@ -125,11 +123,12 @@
     public fun start() {
         channels += listener.bind(parseAddress(settings.listen.callers))
         settings.listen.questions.distinct().forEach { channels += bindQueries(context, parseAddress(it), ::respondToQuery) }
-        registry.onRead = { from, changed -> digests.registryWasRead(from, changed) }
+        registry.onRead = digests::registryWasRead
         operations.onRead = { from, changed -> if (changed.isNotEmpty()) digests.operationsWereRead(from, changed) }
         loop.execute {
             log.event("started", "zone" to settings.instance.zone, "callers" to settings.listen.callers, "incarnation" to incarnation)
-            listOf(operations, registry, instances).forEach { it.read() }
+            registry.read()
+            listOf(operations, instances).forEach { it.read() }
             announce()
         }
         loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
@@ -161,8 +160,7 @@
         recordDelay(context.loopDelay.recordTick(now))
         listener.sweep()
         context.connections.sweep()
-        for (id in state.directory.applyDeferredRemovals(now)) targetRemoved(id)
-        if (isRegistryDue(now)) registry.read()
+        registry.advance(now)
         operations.resume()
         instances.resume()
         updateReadiness()
@@ -198,15 +196,6 @@
         log.event(event, "reason" to failure.toString())
     }
 
-    /** Live instances read the registry in turn and send the records to the others; an instance that receives none reads by itself. */
-    private fun isRegistryDue(now: MonotonicTime): Boolean {
-        val knownAt = digests.registryKnownAt ?: return registry.replica.next != null
-        val ids = (state.fleet.live(now).map { it.id.text } + self.id.text).sorted()
-        val last = ids.indexOf(digests.lastRegistryReader?.text)
-        val turn = if (last < 0) ids.indexOf(self.id.text) else Math.floorMod(ids.indexOf(self.id.text) - last - 1, ids.size)
-        return now - knownAt >= REGISTRY_PERIOD + REGISTRY_STAGGER * turn
-    }
-
     private fun updateReadiness() {
         val serves = context.stoppingSince == null && state.authorizer.configuration != null && registry.replica.next != null
         if (serves == state.fleet.selfServes) return
@@ -254,11 +243,6 @@
         stopped.complete(Unit)
     }
 
-    private fun targetRemoved(id: TargetId) {
-        log.event("target_removed", "target" to id.text)
-        context.connections.drop(id)
-    }
-
     private inner class OperationsListener : TopicListener {
         override fun recordChanged(record: KeyedRecord): Boolean {
             val value = record.value ?: return false
@@ -310,29 +294,6 @@
         }
     }
 
-    private inner class RegistryListener : TopicListener {
-        override fun recordChanged(record: KeyedRecord): Boolean {
-            val value = record.value
-            val id = TargetId(record.key.removePrefix(ports.records.targetKeyPrefix))
-            val change = if (value == null) state.directory.remove(id, clock.now()) else updateDirectory(record.key, value)
-            if (change in UNREPORTED_CHANGES) return false
-            log.event("target_${change.name.lowercase()}", "target" to id.text, "offset" to record.offset)
-            if (change == DirectoryChange.REMOVED || change == DirectoryChange.RESTARTED) context.connections.drop(id)
-            rolloutDriver.advance()
-            return true
-        }
-
-        private fun updateDirectory(key: String, value: ByteArray): DirectoryChange = ports.records.target(key, value).fold(
-            success = { entry -> state.directory.upsert(entry) },
-            failure = { failure ->
-                log.event("target_record_unreadable", "key" to failure.key, "reason" to failure.reason)
-                DirectoryChange.STALE
-            },
-        )
-
-        override fun storeRecovered() = state.directory.registryRecovered(clock.now())
-    }
-
     private inner class InstancesListener : TopicListener {
         override fun recordChanged(record: KeyedRecord): Boolean {
             val value = record.value ?: return false
@@ -359,7 +320,7 @@
     }
 
     private companion object {
-        /** The period in milliseconds of the timer for timeouts and registry reads; a sixth of [REGISTRY_PERIOD]. */
+        /** The period in milliseconds of the timer for timeouts and registry reads. */
         const val TICK_MILLIS = 100L
 
         /** The period of digests in milliseconds; a third of the time after which an instance that sends none is considered down. */
@@ -368,15 +329,6 @@
         /** The period in milliseconds at which the relays of a large fleet exchange bundles; two digest periods. */
         const val BUNDLE_PERIOD_MILLIS = 800L
 
-        /**
-         * The maximum age of the registry's records. Instances must know of a leaving target within 2 s of its announcement,
-         * including transit time and the wait for the instance whose turn it is to read.
-         */
-        val REGISTRY_PERIOD: Duration = 600.milliseconds
-
-        /** The time that each instance has for its turn, to read the registry and send the records to the others. */
-        val REGISTRY_STAGGER: Duration = 150.milliseconds
-
         /** How long callers may cache an address. It is short, because an instance that shuts down waits for [MAX_KEPT_LIFETIMES] of it. */
         val ADDRESS_LIFETIME: Duration = 1.seconds
 
@@ -386,9 +338,6 @@
         /** The delay before a failed announcement is retried. */
         val ANNOUNCE_RETRY_DELAY: Duration = 500.milliseconds
 
-        /** The changes that carry no new information and are not logged. */
-        val UNREPORTED_CHANGES = setOf(DirectoryChange.UNCHANGED, DirectoryChange.STALE)
-
         fun parseAddress(text: String): HostAndPort = requireNotNull(HostAndPort.parse(text)) { "Invalid address in the settings: $text" }
     }
 }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -0,0 +1,112 @@
+package org.cactuspulley.runtime.forwarding
+
+import com.github.michaelbull.result.fold
+import org.cactuspulley.core.forwarding.DirectoryChange
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.TargetId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Keeps the directory of targets up to date with the platform's registry.
+ *
+ * Every target writes a heartbeat, so a long read would return at once. Instead the live instances read the registry in turn, and
+ * each sends the changes to the others, so that the number of reads does not grow with the fleet.
+ */
+internal class TargetRegistry(
+    private val context: ForwardingContext,
+    store: RecordStore,
+    private val records: RecordDecoder,
+    private val onChange: () -> Unit,
+) {
+    private val state = context.state
+    private val follower = StoreFollower(context, store, StoreTopic.REGISTRY, RegistryListener(), null) { false }
+
+    /** The instance that read the registry last; null if none is known. */
+    private var lastReader: InstanceId? = null
+
+    /** When this instance last received the registry's records, by its own read or from a peer; null if never. */
+    private var knownAt: MonotonicTime? = null
+
+    /** The registry's records that are known so far. */
+    val replica: TopicReplica get() = follower.replica
+
+    /** Called after each successful read, with the records that changed since offset `from`; null stands for a read of all records. */
+    var onRead: (from: Long?, changed: List<KeyedRecord>) -> Unit = { _, _ -> }
+
+    init {
+        follower.onRead = { from, changed ->
+            lastReader = context.state.fleet.selfId
+            knownAt = context.clock.now()
+            onRead(from, changed)
+        }
+    }
+
+    /** Reads the registry. */
+    fun read() = follower.read()
+
+    /** Applies what is due at [now] and reads the registry if it is this instance's turn; a timer calls it. */
+    fun advance(now: MonotonicTime) {
+        for (id in state.directory.applyDeferredRemovals(now)) {
+            context.log.event("target_removed", "target" to id.text)
+            context.connections.drop(id)
+        }
+        if (isDue(now)) read()
+    }
+
+    /** Live instances take turns; an instance that receives no records reads by itself. */
+    private fun isDue(now: MonotonicTime): Boolean {
+        val lastKnownAt = knownAt ?: return replica.next != null
+        val selfId = state.fleet.selfId
+        val ids = (state.fleet.live(now).map { it.id.text } + selfId.text).sorted()
+        val last = ids.indexOf(lastReader?.text)
+        val turn = if (last < 0) ids.indexOf(selfId.text) else Math.floorMod(ids.indexOf(selfId.text) - last - 1, ids.size)
+        return now - lastKnownAt >= READ_PERIOD + READ_STAGGER * turn
+    }
+
+    /** Applies records that [peer] has read and that arrived at [now]. */
+    fun applyRelayed(peer: InstanceId, range: RelayedRange, now: MonotonicTime) {
+        follower.applyRelayed(range)
+        if (replica.next != range.next) return
+        lastReader = peer
+        knownAt = now
+    }
+
+    private inner class RegistryListener : TopicListener {
+        override fun recordChanged(record: KeyedRecord): Boolean {
+            val value = record.value
+            val id = TargetId(record.key.removePrefix(records.targetKeyPrefix))
+            val change = if (value == null) state.directory.remove(id, context.clock.now()) else updateDirectory(record.key, value)
+            if (change in UNREPORTED_CHANGES) return false
+            context.log.event("target_${change.name.lowercase()}", "target" to id.text, "offset" to record.offset)
+            if (change == DirectoryChange.REMOVED || change == DirectoryChange.RESTARTED) context.connections.drop(id)
+            onChange()
+            return true
+        }
+
+        private fun updateDirectory(key: String, value: ByteArray): DirectoryChange = records.target(key, value).fold(
+            success = { entry -> state.directory.upsert(entry) },
+            failure = { failure ->
+                context.log.event("target_record_unreadable", "key" to failure.key, "reason" to failure.reason)
+                DirectoryChange.STALE
+            },
+        )
+
+        override fun storeRecovered() = state.directory.registryRecovered(context.clock.now())
+    }
+
+    private companion object {
+        /**
+         * The maximum age of the registry's records. Instances must know of a leaving target within 2 s of its announcement,
+         * including transit time and the wait for the instance whose turn it is to read.
+         */
+        val READ_PERIOD: Duration = 600.milliseconds
+
+        /** The time that each instance has for its turn, to read the registry and send the records to the others. */
+        val READ_STAGGER: Duration = 150.milliseconds
+
+        /** The changes that carry no new information and are not logged. */
+        val UNREPORTED_CHANGES = setOf(DirectoryChange.UNCHANGED, DirectoryChange.STALE)
+    }
+}
--- /dev/null
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -0,0 +1,275 @@
+package org.cactuspulley.runtime.forwarding
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import org.cactuspulley.core.forwarding.FleetMember
+import org.cactuspulley.core.forwarding.TargetEntry
+import org.cactuspulley.core.forwarding.WeightRollout
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.InstanceIncarnation
+import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.PoolName
+import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.model.ZoneName
+import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.platform.HostAndPort
+import org.cactuspulley.runtime.settings.FleetBounds
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A protocol for tests that send no requests to targets. */
+internal object NoTargets : TargetProtocol {
+    override fun request(send: TargetRequest): HttpRequest = error("This test sends no requests")
+
+    override fun responseHead(response: HttpResponse): TargetResponseHead = error("This test receives no responses")
+
+    override fun callerHead(response: HttpResponse): HttpResponse = error("This test receives no responses")
+}
+
+/** A store that never answers a read, or refuses it immediately while [refuses] is set. It counts the [reads]. */
+internal class UnresponsiveStore : RecordStore {
+    var refuses = false
+    var reads = 0
+
+    override fun read(topic: StoreTopic, from: Long, wait: Duration, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
+        reads++
+        if (refuses) done(Err(StoreFailure.Refused(503)))
+    }
+
+    override fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit) = Unit
+
+    override fun append(
+        topic: StoreTopic,
+        key: String,
+        value: ByteArray,
+        expectedEnd: Long?,
+        done: (Result<Long, StoreFailure>) -> Unit,
+    ) = Unit
+}
+
+/** The log of the target registry, which all instances of a simulation share. */
+internal class RegistryLog {
+    private val records = mutableListOf<KeyedRecord>()
+    private val startedAtMillis = HashMap<String, Long>()
+    private val reports = HashMap<String, Int>()
+    private var firstOffset = 0L
+
+    /** Whether no instance can read the log. */
+    var isDown = false
+
+    val end: Long get() = records.size.toLong()
+
+    /** Appends a heartbeat of target [id]. */
+    fun report(id: String, state: String = "ready", startedAt: Long = startedAtMillis[id] ?: 1_000) {
+        if (startedAtMillis.put(id, startedAt) != startedAt) reports[id] = 0
+        val number = (reports[id] ?: 0) + 1
+        reports[id] = number
+        append(id, "$state $startedAt $number")
+    }
+
+    /** Appends the removal of the entry of target [id]. */
+    fun remove(id: String) = append(id, null)
+
+    /** Deletes the history; the newest record of each key stays available to [newest]. */
+    fun compact() {
+        firstOffset = end
+    }
+
+    private fun append(id: String, value: String?) {
+        records += KeyedRecord(id, end, value?.toByteArray())
+    }
+
+    fun read(from: Long): Result<RecordBatch, StoreFailure> =
+        if (from < firstOffset) Err(StoreFailure.Compacted) else Ok(RecordBatch(records.filter { it.offset >= from }, end))
+
+    fun newest(): Result<RecordBatch, StoreFailure> =
+        Ok(RecordBatch(records.associateBy { it.key }.values.filter { it.value != null }, end))
+}
+
+/** One instance's access to [log], which refuses it while [isRefused] is set. */
+internal class RegistryStore(private val log: RegistryLog) : RecordStore {
+    var isRefused = false
+    var reads = 0
+
+    override fun read(topic: StoreTopic, from: Long, wait: Duration, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
+        reads++
+        done(if (isUnavailable) Err(StoreFailure.Refused(503)) else log.read(from))
+    }
+
+    override fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
+        reads++
+        done(if (isUnavailable) Err(StoreFailure.Refused(503)) else log.newest())
+    }
+
+    private val isUnavailable get() = isRefused || log.isDown
+
+    override fun append(
+        topic: StoreTopic,
+        key: String,
+        value: ByteArray,
+        expectedEnd: Long?,
+        done: (Result<Long, StoreFailure>) -> Unit,
+    ) = error("This test appends no records")
+}
+
+/** Decodes the records of [RegistryLog]: a state, a start time and the number of the report. */
+internal object RegistryRecords : RecordDecoder {
+    override val targetKeyPrefix = ""
+
+    override fun operation(key: String, value: ByteArray): Result<OperatorChange, RecordFailure> = Ok(OperatorChange.Other)
+
+    override fun target(key: String, value: ByteArray): Result<TargetEntry, RecordFailure> {
+        val (state, startedAt, number) = value.decodeToString().split(' ')
+        val zone = ZoneName("zone-0")
+        val isLeaving = state == "draining"
+        return Ok(
+            TargetEntry(
+                TargetId(key), PoolName("engines"), "10.1.0.1:1", zone, 8, isLeaving, startedAt.toLong(), number.toLong(), emptyMap(),
+            ),
+        )
+    }
+}
+
+private object NoOpListener : TopicListener {
+    override fun recordChanged(record: KeyedRecord) = true
+
+    override fun storeRecovered() = Unit
+}
+
+/** A simulation, in virtual time, of instances whose datagrams arrive immediately. */
+internal class ExchangeSimulation(size: Int, zones: Int) {
+    private val channel = EmbeddedChannel().apply { freezeTime() }
+    private val loop = channel.eventLoop()
+    var now = MonotonicTime.ZERO + 100_000.milliseconds
+        private set
+    private val clock = MonotonicClock { now }
+    private val members = (0 until size).map {
+        FleetMember(InstanceId("i-$it"), InstanceIncarnation(1), ZoneName("zone-${it % zones}"), "10.0.0.$it:1", "10.0.0.$it:2")
+    }
+    val registryLog = RegistryLog()
+    val instances = members.map { SimulatedInstance(it) }
+    private val byAddress = instances.associateBy { HostAndPort.parse(it.member.peerAddress) }
+
+    /** The number of datagrams that were sent to another zone. */
+    var crossZone = 0
+
+    /** The number of all datagrams that were sent. */
+    var total = 0
+
+    /** The number of relayed records that were sent, counted once for each receiving peer. */
+    var recordsSent = 0
+
+    private var ticks = 0
+
+    inner class SimulatedInstance(val member: FleetMember) {
+        /** Whether the instance neither sends nor receives datagrams. */
+        var isDown = false
+
+        /** Whether datagrams to the instance are lost. */
+        var losesDatagrams = false
+        val store = UnresponsiveStore()
+        val registryStore = RegistryStore(registryLog)
+        private var parts = Parts()
+        val state: ForwardingState get() = parts.state
+        val operations: StoreFollower get() = parts.operations
+        val registry: TargetRegistry get() = parts.registry
+        val exchange: DigestExchange get() = parts.exchange
+
+        /** What a restart of the instance replaces. */
+        private inner class Parts {
+            val state = ForwardingState(member, FleetBounds(), now)
+            private val context = ForwardingContext(
+                loop,
+                clock,
+                state,
+                NoTargets,
+                TargetConnectionPool(loop, clock),
+                DecisionLog(ForwardingMetrics()),
+                LoopDelayMonitor(100.milliseconds, now),
+                onCrash = {},
+                sendDigests = {},
+            )
+            val operations = StoreFollower(context, store, StoreTopic.OPERATIONS, NoOpListener, null) { false }
+            val registry: TargetRegistry = TargetRegistry(context, registryStore, RegistryRecords) {}
+            private val rollout = WeightRollout(member.id, state.directory, state.desiredWeights, state.fleet)
+            val exchange: DigestExchange =
+                DigestExchange(context, member, rollout, operations, registry, onUpdate = {}) { message, peers ->
+                    send(this@SimulatedInstance, message, peers)
+                }
+
+            init {
+                members.forEach(state.fleet::recordAnnouncement)
+                state.fleet.selfServes = true
+                registry.onRead = exchange::registryWasRead
+            }
+        }
+
+        /** Restarts the instance; it has no state left, and reads the registry. */
+        fun restart() {
+            parts = Parts()
+            registry.read()
+        }
+
+        /** Whether the instance would send requests to the target [id]. */
+        fun uses(id: String): Boolean = state.directory[TargetId(id)]?.entry?.isLeaving == false
+    }
+
+    private fun send(from: SimulatedInstance, message: PeerMessage, peers: List<HostAndPort>): Unit = peers.mapNotNull {
+        byAddress[it]
+    }.forEach { to ->
+        total++
+        if (to.member.zone != from.member.zone) crossZone++
+        recordsSent += message.digest?.relayedRanges.orEmpty().sumOf { it.records.size }
+        if (!to.isDown && !to.losesDatagrams) to.exchange.receive(message)
+    }
+
+    /** Simulates the given number of digest periods, with a bundle after every second one. */
+    fun run(digests: Int) = repeat(digests) { round ->
+        advanceTime(400.milliseconds)
+        val up = instances.filterNot { it.isDown }
+        up.forEach { it.exchange.sendDigests() }
+        if (round % 2 == 1) up.forEach { it.exchange.sendZoneBundle() }
+    }
+
+    /** Simulates [duration] with the timers of an instance, in which the instances read the registry. */
+    fun runTimers(duration: Duration) = repeat((duration / TICK).toInt()) {
+        advanceTime(TICK)
+        ticks++
+        for (instance in instances.filterNot { it.isDown }) {
+            instance.registry.advance(now)
+            if (ticks % TICKS_PER_DIGEST == 0) instance.exchange.sendDigests()
+            if (ticks % TICKS_PER_BUNDLE == 0) instance.exchange.sendZoneBundle()
+        }
+    }
+
+    private fun advanceTime(duration: Duration) {
+        now += duration
+        channel.advanceTimeBy(duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        channel.runScheduledPendingTasks()
+        channel.runPendingTasks()
+    }
+
+    fun close() {
+        channel.finishAndReleaseAll()
+    }
+
+    private companion object {
+        val TICK = 100.milliseconds
+        const val TICKS_PER_DIGEST = 4
+        const val TICKS_PER_BUNDLE = 8
+    }
+}
+
+internal fun <T> simulate(size: Int, zones: Int = 4, action: ExchangeSimulation.() -> T): T =
+    ExchangeSimulation(size, zones).run {
+        try {
+            action()
+        } finally {
+            close()
+        }
+    }
