Limit how long an instance waits for its turn to read the target registry

Callers saw: requests that reached targets seconds after these had said that they leave, in large fleets after starts, deleted history and cut links. Cause: an instance that receives no records waits 150 ms for each live instance before it in turn: 12.4 s in a fleet of 80. After a start, every instance had read by itself and was last in its own turn, so that nobody read for that long. Change: an instance waits for four turns at most, and the first read of an instance is nobody's turn.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -37,7 +37,8 @@
 
     init {
         follower.onRead = { from, changed ->
-            lastReader = context.state.fleet.selfId
+            // All instances of a fleet that starts read at the same time, so that the first read of one is nobody's turn.
+            if (from != null) lastReader = state.fleet.selfId
             knownAt = context.clock.now()
             onRead(from, changed)
         }
@@ -55,14 +56,17 @@
         if (isDue(now)) read()
     }
 
-    /** Live instances take turns; an instance that receives no records reads by itself. */
+    /**
+     * Live instances take turns; an instance that receives no records reads by itself. The wait is limited, because the instances
+     * before it may have stopped or may not reach the store.
+     */
     private fun isDue(now: MonotonicTime): Boolean {
         val lastKnownAt = knownAt ?: return replica.next != null
         val selfId = state.fleet.selfId
         val ids = (state.fleet.live(now).map { it.id.text } + selfId.text).sorted()
         val last = ids.indexOf(lastReader?.text)
         val turn = if (last < 0) ids.indexOf(selfId.text) else Math.floorMod(ids.indexOf(selfId.text) - last - 1, ids.size)
-        return now - lastKnownAt >= READ_PERIOD + READ_STAGGER * turn
+        return now - lastKnownAt >= READ_PERIOD + READ_STAGGER * minOf(turn, MAX_TURNS)
     }
 
     /** Applies records that [peer] has read and that arrived at [now]. */
@@ -106,6 +110,9 @@
         /** The time that each instance has for its turn, to read the registry and send the records to the others. */
         val READ_STAGGER: Duration = 150.milliseconds
 
+        /** The largest number of turns that an instance waits; with it, the records of an instance are never older than 1.3 s. */
+        const val MAX_TURNS = 4
+
         /** The changes that carry no new information and are not logged. */
         val UNREPORTED_CHANGES = setOf(DirectoryChange.UNCHANGED, DirectoryChange.STALE)
     }
--- /dev/null
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
@@ -0,0 +1,87 @@
+package org.cactuspulley.runtime.forwarding
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The time after which targets that leave must get no more requests. */
+private val DRAIN_LIMIT = 2.seconds
+
+/** The time in which a request that waits for a connection may still be sent. */
+private val CONNECT_TIME = 300.milliseconds
+
+/** The time in which every instance that reaches the store must know of a leaving target. */
+private val KNOWLEDGE_LIMIT: Duration = DRAIN_LIMIT - CONNECT_TIME
+
+private fun ExchangeSimulation.usersOf(id: String) = instances.filter { it.uses(id) }.map { it.member.id.text }
+
+/** Starts all instances with three targets, whose heartbeats have been read. */
+private fun ExchangeSimulation.start() {
+    listOf("t-1", "t-2", "t-3").forEach { registryLog.report(it) }
+    instances.forEach { it.registry.read() }
+    runTimers(4.seconds)
+    usersOf("t-1").size shouldBe instances.size
+}
+
+class LeavingTargetSpec : DescribeSpec({
+    for (size in listOf(8, 80)) {
+        describe("in a fleet of $size instances, a target that leaves") {
+            it("is known to all of them in time") {
+                simulate(size) {
+                    start()
+                    registryLog.report("t-1", "draining")
+                    registryLog.remove("t-2")
+                    runTimers(KNOWLEDGE_LIMIT)
+                    usersOf("t-1").shouldBeEmpty()
+                    usersOf("t-2").shouldBeEmpty()
+                }
+            }
+
+            // Guards against a resynchronization, after the history was deleted, of which the other instances do not learn.
+            it("is known to all of them in time if the history is deleted before they have read its record") {
+                simulate(size) {
+                    start()
+                    registryLog.report("t-1", "draining")
+                    registryLog.remove("t-2")
+                    registryLog.compact()
+                    runTimers(KNOWLEDGE_LIMIT)
+                    usersOf("t-1").shouldBeEmpty()
+                    usersOf("t-2").shouldBeEmpty()
+                }
+            }
+
+            // Guards against turns that add up when the store does not answer many instances whose turn comes first.
+            it("is known in time to the instances that the store answers while it refuses every third one") {
+                simulate(size) {
+                    start()
+                    val refused = instances.sortedBy { it.member.id.text }.take(size / 3).onEach { it.registryStore.isRefused = true }
+                    runTimers(5.seconds)
+                    repeat(5) { round ->
+                        registryLog.report("t-$round-late")
+                        runTimers(3.seconds)
+                        registryLog.report("t-$round-late", "draining")
+                        runTimers(KNOWLEDGE_LIMIT)
+                        (instances - refused).filter { it.uses("t-$round-late") }.map { it.member.id.text }.shouldBeEmpty()
+                    }
+                }
+            }
+
+            // Guards against an instance that waits for a far turn while no peer's records reach it.
+            it("is known in time to an instance that reaches the store but no peer") {
+                simulate(size) {
+                    start()
+                    val isolated = instances[size / 2].apply { isDown = true }
+                    registryLog.report("t-1", "draining")
+                    repeat((KNOWLEDGE_LIMIT / 100.milliseconds).toInt()) {
+                        runTimers(100.milliseconds)
+                        isolated.registry.advance(now)
+                    }
+                    isolated.uses("t-1") shouldBe false
+                }
+            }
+        }
+    }
+})
