Put removals off only after an outage of the registry, not after failed reads of one instance

Callers saw: requests that reached targets whose entry had been deleted more than two seconds before, by one instance only. Cause: removals are put off for 2.2 s when the store answers an instance again after its own reads failed. An instance reads the registry itself only now and then, once in 48 s in a fleet of 80, so that this moment may come long after the end of the outage, or without one. Evidence: LeavingTargetSpec, "is not used on by an instance whose last own read failed", failed before with 80 instances. Change: an outage is a time of two seconds in which neither this instance nor any peer whose records it received got an answer of the store. Relayed ranges say how old they are, so that old ones don't hide an outage.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -36,7 +36,7 @@
 
     /** Records that the registry became readable again at [now] after an outage. */
     public fun registryRecovered(now: MonotonicTime) {
-        deferRemovalsUntil = now + recoveryGracePeriod
+        deferRemovalsUntil = maxOf(deferRemovalsUntil ?: now, now + recoveryGracePeriod)
     }
 
     /** Applies an entry that a target published and returns how the directory changed. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -171,14 +171,15 @@
 
     private fun missingRanges(peer: PeerPosition): List<RelayedRange> =
         listOfNotNull(
-            missingRange(operations.replica, StoreTopic.OPERATIONS, peer.operationsNext),
-            missingRange(registry.replica, StoreTopic.REGISTRY, peer.registryNext),
+            missingRange(operations.replica, StoreTopic.OPERATIONS, peer.operationsNext, null),
+            missingRange(registry.replica, StoreTopic.REGISTRY, peer.registryNext, registry.age(context.clock.now())),
         )
 
-    private fun missingRange(replica: TopicReplica, topic: StoreTopic, from: Long?): RelayedRange? {
+    /** The records of [topic] that a peer is missing which knows those before [from]; [age] is the time since they were read. */
+    private fun missingRange(replica: TopicReplica, topic: StoreTopic, from: Long?, age: Duration?): RelayedRange? {
         val next = replica.next ?: return null
         if (from != null && from >= next) return null
-        return RelayedRange(topic, from, next, replica.since(from).map(::toRelayed))
+        return RelayedRange(topic, from, next, replica.since(from).map(::toRelayed), age?.inWholeMilliseconds ?: 0)
     }
 
     private fun toRelayed(record: KeyedRecord) = RelayedRecord(record.key, record.offset, record.value)
@@ -304,7 +305,7 @@
 
     private fun applyRelayed(peer: InstanceId, range: RelayedRange, now: MonotonicTime) {
         when (range.topic) {
-            StoreTopic.OPERATIONS -> operations.applyRelayed(range)
+            StoreTopic.OPERATIONS -> operations.applyRelayed(range, now)
 
             StoreTopic.REGISTRY -> registry.applyRelayed(peer, range, now)
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -158,9 +158,23 @@
 @CborArray
 internal data class NamedWeights(val model: String, val version: Long, val ageMillis: Long)
 
-/** The [records] of [topic] that changed from offset [from] (null for the beginning) up to but excluding [next]. */
+/**
+ * Records that one instance relays to another.
+ *
+ * @property topic the topic of the records.
+ * @property from the offset from which on the records are complete; null if they are the newest records of all keys.
+ * @property next the offset up to which, exclusively, the records are complete.
+ * @property records the newest records of the keys that changed in the range.
+ * @property ageMillis the time since an instance read the range from the store, in milliseconds.
+ */
 @Serializable
-internal data class RelayedRange(val topic: StoreTopic, val from: Long?, val next: Long, val records: List<RelayedRecord>)
+internal data class RelayedRange(
+    val topic: StoreTopic,
+    val from: Long?,
+    val next: Long,
+    val records: List<RelayedRecord>,
+    val ageMillis: Long = 0,
+)
 
 /** A record of the platform's log; a null [value] marks a deleted key. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -255,8 +255,6 @@
             )
         }
 
-        override fun storeRecovered() = Unit
-
         private fun apply(change: OperatorChange, offset: Long): Boolean {
             val now = clock.now()
             return when (change) {
@@ -315,8 +313,6 @@
             context.scheduleDigest()
             return true
         }
-
-        override fun storeRecovered() = Unit
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import org.cactuspulley.core.model.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -12,8 +13,8 @@
     /** Called with a [record] that is the newest of its key; a null value marks a deleted key. Returns whether it changed anything. */
     fun recordChanged(record: KeyedRecord): Boolean
 
-    /** Called when a read succeeds after reads had failed. */
-    fun storeRecovered()
+    /** Called before records are applied that the store returned at [at] to this instance or to a peer. */
+    fun storeAnswered(at: MonotonicTime) = Unit
 }
 
 /**
@@ -83,8 +84,8 @@
                 if (isFailing) {
                     context.log.event("store_answers", "topic" to topic.name)
                     isFailing = false
-                    listener.storeRecovered()
                 }
+                listener.storeAnswered(context.clock.now())
                 use(batch)
                 resume(followsAnswer = true)
             },
@@ -123,8 +124,9 @@
         return false
     }
 
-    /** Applies records that a peer has read. */
-    fun applyRelayed(range: RelayedRange) {
+    /** Applies records that a peer has read from the store at [readAt]. */
+    fun applyRelayed(range: RelayedRange, readAt: MonotonicTime) {
+        listener.storeAnswered(readAt)
         val known = replica.next
         range.records.map { KeyedRecord(it.key, it.offset, it.value) }.filter { replica.apply(it) }.forEach { notifyListener(it) }
         if (range.from == null || (known != null && range.from <= known)) replica.advance(range.next)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -7,6 +7,7 @@
 import org.cactuspulley.core.model.TargetId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Keeps the directory of targets up to date with the platform's registry.
@@ -26,13 +27,19 @@
     /** The instance that read the registry last; null if none is known. */
     private var lastReader: InstanceId? = null
 
-    /** When this instance last received the registry's records, by its own read or from a peer; null if never. */
+    /** When the store returned the newest records that this instance knows, to itself or to a peer; null if it knows none. */
     private var knownAt: MonotonicTime? = null
 
+    /** When the store last answered a read of the registry, as far as this instance knows; null if never. */
+    private var answeredAt: MonotonicTime? = null
+
+    /** The peer whose records are being applied; null for records from the store. */
+    private var relayedBy: InstanceId? = null
+
     /** The registry's records that are known so far. */
     val replica: TopicReplica get() = follower.replica
 
-    /** Called after each successful read, with the records that changed since offset `from`; null stands for a read of all records. */
+    /** Called after each successful read, with the records that changed since offset `from`; null stands for the first read. */
     var onRead: (from: Long?, changed: List<KeyedRecord>) -> Unit = { _, _ -> }
 
     init {
@@ -44,6 +51,9 @@
         }
     }
 
+    /** Returns the time since the newest known records were read from the store; null if none are known. */
+    fun age(now: MonotonicTime): Duration? = knownAt?.let { now - it }
+
     /** Reads the registry. */
     fun read() = follower.read()
 
@@ -69,12 +79,15 @@
         return now - lastKnownAt >= READ_PERIOD + READ_STAGGER * minOf(turn, MAX_TURNS)
     }
 
-    /** Applies records that [peer] has read and that arrived at [now]. */
+    /** Applies records that [peer] relayed and that arrived at [now]. */
     fun applyRelayed(peer: InstanceId, range: RelayedRange, now: MonotonicTime) {
-        follower.applyRelayed(range)
+        val readAt = now - range.ageMillis.milliseconds
+        relayedBy = peer
+        follower.applyRelayed(range, readAt)
+        relayedBy = null
         if (replica.next != range.next) return
         lastReader = peer
-        knownAt = now
+        knownAt = maxOf(knownAt ?: readAt, readAt)
     }
 
     private inner class RegistryListener : TopicListener {
@@ -83,7 +96,12 @@
             val id = TargetId(record.key.removePrefix(records.targetKeyPrefix))
             val change = if (value == null) state.directory.remove(id, context.clock.now()) else updateDirectory(record.key, value)
             if (change in UNREPORTED_CHANGES) return false
-            context.log.event("target_${change.name.lowercase()}", "target" to id.text, "offset" to record.offset)
+            context.log.event(
+                "target_${change.name.lowercase()}",
+                "target" to id.text,
+                "offset" to record.offset,
+                "relayedBy" to relayedBy?.text,
+            )
             if (change == DirectoryChange.REMOVED || change == DirectoryChange.RESTARTED) context.connections.drop(id)
             onChange()
             return true
@@ -97,7 +115,15 @@
             },
         )
 
-        override fun storeRecovered() = state.directory.registryRecovered(context.clock.now())
+        /** Detects the end of an outage. A store that fails only this instance still answers its peers, which relay the records. */
+        override fun storeAnswered(at: MonotonicTime) {
+            val last = answeredAt
+            if (last != null && at - last > OUTAGE_THRESHOLD) {
+                context.log.event("registry_recovered", "gapMillis" to (at - last).inWholeMilliseconds, "relayedBy" to relayedBy?.text)
+                state.directory.registryRecovered(at)
+            }
+            answeredAt = maxOf(last ?: at, at)
+        }
     }
 
     private companion object {
@@ -113,6 +139,12 @@
         /** The largest number of turns that an instance waits; with it, the records of an instance are never older than 1.3 s. */
         const val MAX_TURNS = 4
 
+        /**
+         * The shortest time without an answer of the store that counts as an outage. In a shorter one no entry expires, because a
+         * target reports more than twice in the time after which its entry does.
+         */
+        val OUTAGE_THRESHOLD: Duration = 2.seconds
+
         /** The changes that carry no new information and are not logged. */
         val UNREPORTED_CHANGES = setOf(DirectoryChange.UNCHANGED, DirectoryChange.STALE)
     }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
@@ -74,7 +74,7 @@
         for (size in listOf(8, 40)) {
             it("makes the other instances of $size read the store immediately, at most eight of them") {
                 simulate(size) {
-                    instances.forEach { it.operations.applyRelayed(RelayedRange(StoreTopic.OPERATIONS, null, 5, emptyList())) }
+                    instances.forEach { it.operations.applyRelayed(RelayedRange(StoreTopic.OPERATIONS, null, 5, emptyList()), now) }
                     run(6)
                     val reader = instances.first { it.state.fleet.isStoreReader(now) }
                     reader.store.refuses = true
@@ -111,12 +111,13 @@
     describe("records that one instance has read") {
         it("are not sent again before the peers that miss them could have reported it") {
             simulate(40) {
-                instances.forEach { it.operations.applyRelayed(RelayedRange(StoreTopic.OPERATIONS, null, 5, emptyList())) }
+                instances.forEach { it.operations.applyRelayed(RelayedRange(StoreTopic.OPERATIONS, null, 5, emptyList()), now) }
                 run(4)
                 val reader = instances.first { it.state.fleet.isStoreReader(now) }
                 (instances - reader).forEach { it.losesDatagrams = true }
                 reader.operations.applyRelayed(
                     RelayedRange(StoreTopic.OPERATIONS, 5, 6, listOf(RelayedRecord("config", 5, byteArrayOf(1)))),
+                    now,
                 )
                 recordsSent = 0
                 reader.exchange.operationsWereRead(5, listOf(KeyedRecord("config", 5, byteArrayOf(1))))
@@ -128,12 +129,13 @@
         for (size in listOf(8, 40)) {
             it("reach all $size instances immediately, and an instance that was down soon after its return") {
                 simulate(size) {
-                    instances.forEach { it.operations.applyRelayed(RelayedRange(StoreTopic.OPERATIONS, null, 5, emptyList())) }
+                    instances.forEach { it.operations.applyRelayed(RelayedRange(StoreTopic.OPERATIONS, null, 5, emptyList()), now) }
                     run(4)
                     instances[3].isDown = true
                     val record = KeyedRecord("config", 5, byteArrayOf(1))
                     instances[0].operations.applyRelayed(
                         RelayedRange(StoreTopic.OPERATIONS, 5, 6, listOf(RelayedRecord("config", 5, byteArrayOf(1)))),
+                    now,
                     )
                     instances[0].exchange.operationsWereRead(5, listOf(record))
                     instances.filterNot { it.isDown }.map { it.operations.replica.next }.toSet() shouldBe setOf(6L)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -137,8 +137,6 @@
 
 private object NoOpListener : TopicListener {
     override fun recordChanged(record: KeyedRecord) = true
-
-    override fun storeRecovered() = Unit
 }
 
 /** A simulation, in virtual time, of instances whose datagrams arrive immediately. */
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import org.cactuspulley.core.model.TargetId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -16,6 +17,9 @@
 /** The time in which every instance that reaches the store must know of a leaving target. */
 private val KNOWLEDGE_LIMIT: Duration = DRAIN_LIMIT - CONNECT_TIME
 
+/** The time after the end of an outage from which on the store counts as stable. */
+private val STABLE_TIME = 3.seconds
+
 private fun ExchangeSimulation.usersOf(id: String) = instances.filter { it.uses(id) }.map { it.member.id.text }
 
 /** Starts all instances with three targets, whose heartbeats have been read. */
@@ -53,6 +57,22 @@
                 }
             }
 
+            // Guards against a removal that is put off because an instance's own read failed long ago while the store served the others.
+            it("is not used on by an instance whose last own read failed") {
+                simulate(size) {
+                    start()
+                    val instance = instances.last()
+                    instance.registryStore.isRefused = true
+                    instance.registry.read()
+                    instance.registryStore.isRefused = false
+                    runTimers(STABLE_TIME)
+                    registryLog.remove("t-1")
+                    instance.registry.read()
+                    runTimers(KNOWLEDGE_LIMIT)
+                    usersOf("t-1").shouldBeEmpty()
+                }
+            }
+
             // Guards against turns that add up when the store does not answer many instances whose turn comes first.
             it("is known in time to the instances that the store answers while it refuses every third one") {
                 simulate(size) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -55,8 +55,6 @@
         failures[record.key]?.let { throw it }
         return keys.add(record.key)
     }
-
-    override fun storeRecovered() = Unit
 }
 
 class StoreFollowerSpec : DescribeSpec({
@@ -101,7 +99,7 @@
             val records = listOf("a", "odd", "b", "deep", "c").mapIndexed { offset, key ->
                 RelayedRecord(key, offset.toLong(), key.toByteArray())
             }
-            follower.applyRelayed(RelayedRange(StoreTopic.REGISTRY, null, 5, records))
+            follower.applyRelayed(RelayedRange(StoreTopic.REGISTRY, null, 5, records), MonotonicTime.ZERO)
             follower.replica.next shouldBe 5
             listener.keys shouldBe listOf("a", "b", "c")
         }
