Relay only ranges of records that are complete, so that no peer misses that a target was removed

Callers saw: requests that reached a target 2.0 to 2.9 s after it had left, from up to five instances; some went on until the target ended. Cause: an instance sends its peers "all changes from offset A up to B", and they take B as read. But it left out what was no change to itself: deletions of entries that it never knew, because it had started later; what a peer had relayed to it ahead of its own read; the deletion of a target that it had stopped using by itself. A peer that missed the one complete relay never learned of the change. The reverse happened, too: a restarted instance that had read the whole registry took a deleted target back from a lagging peer. Change: a replica knows from which offset on it is complete and where each key last changed, by whoever's record. Peers before that offset get all keys, and what is missing among those is deleted. Relayed records of unknown keys that the replica has passed are deleted ones. A deletion is always relayed. A read of the whole topic after its history was deleted is relayed like any other, and no longer makes the instance unready until it ends.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -179,7 +179,10 @@
     private fun missingRange(replica: TopicReplica, topic: StoreTopic, from: Long?, age: Duration?): RelayedRange? {
         val next = replica.next ?: return null
         if (from != null && from >= next) return null
-        return RelayedRange(topic, from, next, replica.since(from).map(::toRelayed), age?.inWholeMilliseconds ?: 0)
+        val changes = from?.let(replica::changesSince)
+        val ageMillis = age?.inWholeMilliseconds ?: 0
+        if (changes == null) return RelayedRange(topic, null, next, replica.all().map(::toRelayed), ageMillis)
+        return RelayedRange(topic, from, next, changes.map(::toRelayed), ageMillis)
     }
 
     private fun toRelayed(record: KeyedRecord) = RelayedRecord(record.key, record.offset, record.value)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -10,7 +10,10 @@
 
 /** Receives the changes that a [StoreFollower] reads. */
 internal interface TopicListener {
-    /** Called with a [record] that is the newest of its key; a null value marks a deleted key. Returns whether it changed anything. */
+    /**
+     * Called with a [record] that is the newest of its key; a null value marks a deleted key. Returns whether it differs from the
+     * record before, so that peers must learn of it.
+     */
     fun recordChanged(record: KeyedRecord): Boolean
 
     /** Called before records are applied that the store returned at [at] to this instance or to a peer. */
@@ -37,6 +40,9 @@
         private set
     private var isReading = false
 
+    /** Whether the history after the last read was deleted, so that the whole topic must be read again. */
+    private var isHistoryLost = false
+
     /** Called after each successful read, with the records that changed since offset [from]; null stands for a read of the whole topic. */
     var onRead: (from: Long?, changed: List<KeyedRecord>) -> Unit = { _, _ -> }
 
@@ -53,24 +59,23 @@
         if (isReading) return
         isReading = true
         val from = replica.next
-        if (from == null) {
-            store.newest(topic) { result -> snapshotRead(result) }
+        if (from == null || isHistoryLost) {
+            store.newest(topic) { result -> snapshotRead(from, result) }
         } else {
             val wait = longReadWait?.takeIf { followsAnswer }?.invoke() ?: Duration.ZERO
             store.read(topic, from, wait) { result -> rangeRead(from, result) }
         }
     }
 
-    private fun snapshotRead(result: Result<RecordBatch, StoreFailure>) = complete(result) { batch ->
-        val present = batch.records.map { it.key }.toSet()
-        val deleted = replica.keys.filter { it !in present }.map { KeyedRecord(it, batch.next - 1, null) }
-        apply(null, batch.records + deleted, batch.next)
+    private fun snapshotRead(from: Long?, result: Result<RecordBatch, StoreFailure>) = complete(result) { batch ->
+        isHistoryLost = false
+        apply(from, batch.records + replica.deletionsIn(batch.records, batch.next), batch.next)
     }
 
     private fun rangeRead(from: Long, result: Result<RecordBatch, StoreFailure>) {
         if (result == Err(StoreFailure.Compacted)) {
             context.log.event("history_deleted", "topic" to topic.name, "offset" to from)
-            replica.reset()
+            isHistoryLost = true
             isReading = false
             return read()
         }
@@ -98,16 +103,17 @@
                 // Leaves isReading set, so that nothing reads before the retry delay is over.
                 context.schedule(RETRY_DELAY) {
                     isReading = false
-                    if (longReadWait != null || replica.next == null) read()
+                    if (longReadWait != null || replica.next == null || isHistoryLost) read()
                 }
             },
         )
     }
 
     private fun apply(from: Long?, records: List<KeyedRecord>, next: Long) {
-        val changed = records.filter { replica.apply(it) && notifyListener(it) }
+        records.forEach { if (replica.apply(it) && notifyListener(it)) replica.markChanged(it.key) }
         replica.advance(next)
-        onRead(from, changed)
+        // Includes what peers relayed before this read: those that receive its changes may have missed that.
+        onRead(from, replica.changedSince(from ?: 0))
     }
 
     /** Passes [record] to the listener. A record that the listener fails on costs only itself: the following records still apply. */
@@ -128,7 +134,12 @@
     fun applyRelayed(range: RelayedRange, readAt: MonotonicTime) {
         listener.storeAnswered(readAt)
         val known = replica.next
-        range.records.map { KeyedRecord(it.key, it.offset, it.value) }.filter { replica.apply(it) }.forEach { notifyListener(it) }
+        val records = range.records.map { KeyedRecord(it.key, it.offset, it.value) }
+        val deletions = if (range.from == null) replica.deletionsIn(records, range.next) else emptyList()
+        (records + deletions).filter(replica::applyRelayed).forEach {
+            notifyListener(it)
+            replica.markChanged(it.key)
+        }
         if (range.from == null || (known != null && range.from <= known)) replica.advance(range.next)
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -95,7 +95,8 @@
             val value = record.value
             val id = TargetId(record.key.removePrefix(records.targetKeyPrefix))
             val change = if (value == null) state.directory.remove(id, context.clock.now()) else updateDirectory(record.key, value)
-            if (change in UNREPORTED_CHANGES) return false
+            // This instance may have stopped using the target already, for a reason that its peers do not know.
+            if (change in UNREPORTED_CHANGES) return value == null
             context.log.event(
                 "target_${change.name.lowercase()}",
                 "target" to id.text,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TopicReplica.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TopicReplica.kt
@@ -1,34 +1,65 @@
 package org.cactuspulley.runtime.forwarding
 
-/** The newest known record of each key of one topic, including deleted keys, so that all changes can be relayed to peers. */
+/**
+ * The newest known record of each key of one topic, including deleted keys, so that all changes can be relayed to peers.
+ *
+ * Most records only repeat the one before, such as heartbeats. The replica therefore keeps, for each key, where it last changed.
+ */
 internal class TopicReplica {
-    private val records = LinkedHashMap<String, KeyedRecord>()
+    /** The newest record of a key; [changedAt] is the offset of its last record that changed anything, or null if none did. */
+    private class Entry(val record: KeyedRecord, val changedAt: Long?)
+
+    private val entries = LinkedHashMap<String, Entry>()
+
+    /** The offset from which on all changes are known; deletions before it may not be. */
+    private var completeFrom = 0L
 
     /** The offset before which all records are known; null until the topic has been read. */
     var next: Long? = null
         private set
 
-    /** The keys that are not deleted. */
-    val keys: List<String> get() = records.values.filter { it.value != null }.map { it.key }
-
     /** Stores [record] if it is the newest of its key; returns whether it is. */
     fun apply(record: KeyedRecord): Boolean {
-        val known = records[record.key]
-        if (known != null && known.offset >= record.offset) return false
-        records[record.key] = record
+        val known = entries[record.key]
+        if (known != null && known.record.offset >= record.offset) return false
+        entries[record.key] = Entry(record, known?.changedAt)
         return true
     }
 
+    /**
+     * Stores [record], which a peer relayed, if it is the newest of its key; returns whether it is. An unknown key before [next] has
+     * been deleted.
+     */
+    fun applyRelayed(record: KeyedRecord): Boolean {
+        val isDeleted = record.key !in entries && next?.let { record.offset < it } ?: false
+        return !isDeleted && apply(record)
+    }
+
+    /** Records that the newest record of [key] differs from the one before. */
+    fun markChanged(key: String) {
+        val entry = entries[key] ?: return
+        entries[key] = Entry(entry.record, entry.record.offset)
+    }
+
     /** Marks all records before [offset] as known. */
     fun advance(offset: Long) {
+        if (next == null) completeFrom = offset
         next = maxOf(next ?: offset, offset)
     }
 
-    /** Forgets the read position after records of the topic were deleted, so that the whole topic is read again. */
-    fun reset() {
-        next = null
+    /** Returns deletions of the known keys that are missing among [records], the newest records of all keys before [end]. */
+    fun deletionsIn(records: List<KeyedRecord>, end: Long): List<KeyedRecord> {
+        val present = records.map { it.key }.toSet()
+        return entries.values.map { it.record }.filter { it.value != null && it.key !in present }.map { KeyedRecord(it.key, end - 1, null) }
     }
 
-    /** Returns the records that changed from [offset] on, or all records if it is null. */
-    fun since(offset: Long?): List<KeyedRecord> = records.values.filter { offset == null || it.offset >= offset }
+    /** Returns the newest records of all keys. */
+    fun all(): List<KeyedRecord> = entries.values.map { it.record }
+
+    /** Returns the newest records of the keys that changed from [offset] on, or null if not all these changes are known. */
+    fun changesSince(offset: Long): List<KeyedRecord>? = if (offset < completeFrom) null else changedSince(offset)
+
+    /** Returns the newest records of the keys that are known to have changed from [offset] on. */
+    fun changedSince(offset: Long): List<KeyedRecord> =
+        entries.values.filter { it.changedAt != null && it.changedAt >= offset }.map { it.record }
 }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
@@ -44,6 +44,37 @@
                 }
             }
 
+            // Guards against a reader that leaves out of its relay what it had learned from a peer before it read.
+            it("is known to an instance that missed the first relay of its record") {
+                simulate(size) {
+                    start()
+                    val (first, second, third) = instances.shuffled(kotlin.random.Random(1))
+                    listOf(second, third).forEach { it.losesDatagrams = true }
+                    registryLog.report("t-2", startedAt = 2_000)
+                    first.registry.read()
+                    second.losesDatagrams = false
+                    registryLog.report("t-1", "draining")
+                    first.registry.read()
+                    third.losesDatagrams = false
+                    second.registry.read()
+                    third.registry.replica.next shouldBe registryLog.end
+                    third.uses("t-1") shouldBe false
+                }
+            }
+
+            // Guards against a removal that a reader does not pass on because it had stopped using the target by itself.
+            it("is known to the others if its reader has found another target at its address") {
+                simulate(size) {
+                    start()
+                    val reader = instances.first()
+                    reader.state.directory.removeMisidentified(TargetId("t-1"))
+                    registryLog.remove("t-1")
+                    reader.registry.read()
+                    runTimers(KNOWLEDGE_LIMIT)
+                    usersOf("t-1").shouldBeEmpty()
+                }
+            }
+
             // Guards against a resynchronization, after the history was deleted, of which the other instances do not learn.
             it("is known to all of them in time if the history is deleted before they have read its record") {
                 simulate(size) {
@@ -57,6 +88,44 @@
                 }
             }
 
+            // Guards against a removed target that an outdated peer makes known again to an instance that has read all records.
+            it("is not used again by a restarted instance that a lagging peer sends its records") {
+                simulate(size) {
+                    start()
+                    val (lagging, restarted) = instances
+                    lagging.isDown = true
+                    registryLog.remove("t-1")
+                    runTimers(1.seconds)
+                    restarted.restart()
+                    val range = RelayedRange(
+                        StoreTopic.REGISTRY,
+                        null,
+                        lagging.registry.replica.next ?: 0,
+                        lagging.registry.replica.all().map { RelayedRecord(it.key, it.offset, it.value) },
+                    )
+                    restarted.registry.applyRelayed(lagging.member.id, range, now)
+                    restarted.uses("t-1") shouldBe false
+                }
+            }
+
+            // Guards against records that a restarted instance relays as complete, without the removals that it has not seen.
+            it("is known to an instance that a restarted one sends the records that it missed") {
+                simulate(size) {
+                    start()
+                    val lagging = instances[0]
+                    val restarted = instances[4]
+                    (instances - restarted).forEach { it.isDown = true }
+                    registryLog.remove("t-1")
+                    registryLog.report("t-2")
+                    restarted.restart()
+                    lagging.isDown = false
+                    lagging.exchange.sendDigests()
+                    restarted.exchange.sendDigests()
+                    lagging.registry.replica.next shouldBe registryLog.end
+                    lagging.uses("t-1") shouldBe false
+                }
+            }
+
             // Guards against a removal that is put off because an instance's own read failed long ago while the store served the others.
             it("is not used on by an instance whose last own read failed") {
                 simulate(size) {
