Relay the return of a target whose removal was put off

Cause: entries that expire during an outage are kept for 2.2 s. When one was registered again, the instance that read it had kept the target, saw no change and relayed nothing; the other instances then removed it. Evidence: `target_removal_deferred` of all targets at 24.608 s and no record of their return; LeavingTargetSpec, "stays in use everywhere if it is registered again", failed before: one of 8, and of 80, instances still used the target. Change: the deletion of a key and its return count as changes in the replica itself, whatever the reader makes of them. Result: the spec passes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -95,8 +95,7 @@
             val value = record.value
             val id = TargetId(record.key.removePrefix(records.targetKeyPrefix))
             val change = if (value == null) state.directory.remove(id, context.clock.now()) else updateDirectory(record.key, value)
-            // This instance may have stopped using the target already, for a reason that its peers do not know.
-            if (change in UNREPORTED_CHANGES) return value == null
+            if (change in UNREPORTED_CHANGES) return false
             context.log.event(
                 "target_${change.name.lowercase()}",
                 "target" to id.text,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TopicReplica.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TopicReplica.kt
@@ -18,11 +18,15 @@
     var next: Long? = null
         private set
 
-    /** Stores [record] if it is the newest of its key; returns whether it is. */
+    /**
+     * Stores [record] if it is the newest of its key; returns whether it is. The deletion of a key and its return count as changes,
+     * whatever this instance makes of them.
+     */
     fun apply(record: KeyedRecord): Boolean {
         val known = entries[record.key]
         if (known != null && known.record.offset >= record.offset) return false
-        entries[record.key] = Entry(record, known?.changedAt)
+        val isDeletedOrBack = record.value == null || (known != null && known.record.value == null)
+        entries[record.key] = Entry(record, if (isDeletedOrBack) record.offset else known?.changedAt)
         return true
     }
 
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
@@ -172,5 +172,36 @@
                 }
             }
         }
+
+        describe("in a fleet of $size instances, a target whose entry expires during an outage") {
+            // Guards against a return of the entry that its reader does not relay, because it had put the removal off and saw no change.
+            it("stays in use everywhere if it is registered again") {
+                simulate(size) {
+                    start()
+                    registryLog.isDown = true
+                    runTimers(4.seconds)
+                    registryLog.remove("t-1")
+                    registryLog.isDown = false
+                    val usersAfterReturn = (1..50).map { step ->
+                        if (step == 15) registryLog.report("t-1")
+                        runTimers(100.milliseconds)
+                        usersOf("t-1").size
+                    }
+                    usersAfterReturn.toSet() shouldBe setOf(size)
+                }
+            }
+
+            it("is not used any more if it is not registered again") {
+                simulate(size) {
+                    start()
+                    registryLog.isDown = true
+                    runTimers(4.seconds)
+                    registryLog.remove("t-1")
+                    registryLog.isDown = false
+                    runTimers(STABLE_TIME)
+                    usersOf("t-1").shouldBeEmpty()
+                }
+            }
+        }
     }
 })
