Send no new requests to a target that says in a response that it is leaving

Callers saw: requests to targets that had announced in their responses that they leave, while the registry still listed them as ready, was down or lagged. Cause: nothing read the announcement (header Server-Leaving); only the registry counted. Evidence: AnnouncedLeavingSpec failed before in its five cases on leaving, for whole responses of three kinds and for streams. Change: the announcement counts as soon as the head of a response to this instance's own request has arrived, also of a stream, for that start of the target, whatever the registry says later; peers learn of it by the next digests. One that another target sent (421) does not count. The caller's response keeps the header. Result: AnnouncedLeavingSpec, SendAttemptSpec and LeavingTargetSpec pass.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -19,6 +19,9 @@
 public class TargetDirectory(private val recoveryGracePeriod: Duration = RECOVERY_GRACE_PERIOD) {
     private val targets = LinkedHashMap<TargetId, Target>()
     private val latestEntries = HashMap<TargetId, TargetEntry>()
+
+    /** The start of each target that is known to leave; a later start under the same id serves again. */
+    private val leavingStarts = HashMap<TargetId, Long>()
     private val deferredRemovals = LinkedHashMap<TargetId, MonotonicTime>()
     private var poolMembers: Map<PoolName, List<Target>> = emptyMap()
 
@@ -35,11 +38,23 @@
     public operator fun get(id: TargetId): Target? = targets[id]
 
     /** Returns whether requests may be sent to [target]: it is still listed and is not leaving. */
-    public fun accepts(target: Target): Boolean = isCurrent(target) && !target.entry.isLeaving
+    public fun accepts(target: Target): Boolean = isCurrent(target) && !target.isLeaving
 
     /** Returns whether [target] is listed and has not started again. */
     public fun isCurrent(target: Target): Boolean = targets[target.id] === target
 
+    /**
+     * Records that the target with [id], which started at [startedAtMillis], has said that it is leaving; returns whether that is
+     * news. Whatever the registry says of this start later, it gets no new requests.
+     */
+    public fun recordLeaving(id: TargetId, startedAtMillis: Long): Boolean {
+        val known = leavingStarts[id]
+        if (known != null && known >= startedAtMillis) return false
+        leavingStarts[id] = startedAtMillis
+        targets[id]?.takeIf { it.entry.startedAtMillis == startedAtMillis }?.markLeaving()
+        return true
+    }
+
     /** Records that the registry became readable again at [now] after an outage. */
     public fun registryRecovered(now: MonotonicTime) {
         deferRemovalsUntil = maxOf(deferRemovalsUntil ?: now, now + recoveryGracePeriod)
@@ -50,6 +65,7 @@
         val current = targets[entry.id]
         if (isStale(entry, current)) return DirectoryChange.STALE
         latestEntries[entry.id] = entry
+        if (entry.isLeaving) recordLeaving(entry.id, entry.startedAtMillis)
         deferredRemovals.remove(entry.id)
         val change = when {
             current == null -> DirectoryChange.ADDED
@@ -60,7 +76,7 @@
         }
         val changesPool = current?.entry?.pool != entry.pool
         if (change == DirectoryChange.ADDED || change == DirectoryChange.RESTARTED) {
-            targets[entry.id] = Target(entry)
+            targets[entry.id] = Target(entry).apply { if (leavingStarts[entry.id] == entry.startedAtMillis) markLeaving() }
             rebuildPoolMembers()
         } else {
             current?.update(entry)
@@ -78,7 +94,7 @@
     public fun remove(id: TargetId, now: MonotonicTime): DirectoryChange {
         if (id !in targets) return DirectoryChange.UNCHANGED
         val deferUntil = deferRemovalsUntil
-        if (deferUntil != null && now < deferUntil && targets[id]?.entry?.isLeaving == false) {
+        if (deferUntil != null && now < deferUntil && targets[id]?.isLeaving == false) {
             deferredRemovals[id] = deferUntil
             return DirectoryChange.REMOVAL_DEFERRED
         }
@@ -136,6 +152,10 @@
     /** The time until which the target is expected to load new weights; requests avoid it until then. */
     public var loadingUntil: MonotonicTime? = null
 
+    /** Whether the target is leaving, by its registry entry or by its responses. */
+    public var isLeaving: Boolean = entry.isLeaving
+        private set
+
     /** The target's id. */
     public val id: TargetId get() = entry.id
 
@@ -153,6 +173,10 @@
         }
     }
 
+    internal fun markLeaving() {
+        isLeaving = true
+    }
+
     internal fun update(newEntry: TargetEntry) {
         entry = newEntry
     }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -54,7 +54,7 @@
     }
 
     private fun isEligible(target: Target, criteria: SelectionCriteria): Boolean {
-        if (target.entry.isLeaving || target.id in criteria.excluded) return false
+        if (target.isLeaving || target.id in criteria.excluded) return false
         val model = criteria.prompt?.model ?: return true
         val weights = target.weights(model) ?: return false
         return criteria.minimumWeights == null || weights >= criteria.minimumWeights
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -300,11 +300,11 @@
     private fun isDone(update: TargetUpdate): Boolean {
         val target = directory[update.target] ?: return true
         val desiredVersion = desired.newest(update.model)?.version ?: return true
-        return target.entry.isLeaving || (target.weights(update.model) ?: desiredVersion) >= desiredVersion
+        return target.isLeaving || (target.weights(update.model) ?: desiredVersion) >= desiredVersion
     }
 
     private fun outdated(weights: DesiredWeights): List<Target> = directory.all.filter { target ->
-        !target.entry.isLeaving && target.weights(weights.model)?.let { it < weights.version } ?: false
+        !target.isLeaving && target.weights(weights.model)?.let { it < weights.version } ?: false
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -218,6 +218,7 @@
             pieceCrashes = context.pieceQuarantine.crashNotices(now),
             soundPieces = context.pieceQuarantine.soundNotices(now),
             pieceQuarantines = context.pieceQuarantine.quarantineNotices(now),
+            leaving = context.leavingTargets.notices(now),
         )
     }
 
@@ -300,6 +301,7 @@
         digest.failingStores.forEach { state.cache.recordPeerStoreFailure(it, until, context.clock.now()) }
         digest.crashes.forEach { state.crashes.add(it, at) }
         context.pieceQuarantine.receive(peer, digest, at)
+        context.leavingTargets.receive(peer.text, digest.leaving)
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -41,6 +41,7 @@
  * @property pieceCrashes the crashes of targets that the instance observed recently, with the pieces that may have caused them.
  * @property soundPieces the suspected pieces that the instance recently found sound.
  * @property pieceQuarantines the quarantines of pieces that hold at the instance.
+ * @property leaving the targets that told the instance recently that they are leaving.
  * @property relayedRanges the records that the instance relays to the receiver.
  */
 @Serializable
@@ -68,6 +69,7 @@
     val pieceCrashes: List<PieceCrashNotice> = emptyList(),
     val soundPieces: List<SoundPieceNotice> = emptyList(),
     val pieceQuarantines: List<PieceQuarantineNotice> = emptyList(),
+    val leaving: List<LeavingTarget> = emptyList(),
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
 )
 
@@ -146,6 +148,12 @@
 @CborArray
 internal data class ExcludedTarget(val target: String, val millis: Long)
 
+/** A target that is leaving; [startedAtMillis] is the time of its start, in Unix milliseconds. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class LeavingTarget(val target: String, val startedAtMillis: Long)
+
 /** The [version] of a model's weights that an instance has observed at [target]. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -43,6 +43,9 @@
     /** The quarantine of the pieces of prompts that crash targets. */
     val pieceQuarantine = PieceQuarantineExchange(this) { sendToAll() }
 
+    /** What targets say in their responses about leaving. */
+    val leavingTargets = LeavingTargetExchange(this)
+
     /** The memory of the responses that are held until they are complete. */
     val responseMemory = ResponseMemory()
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
@@ -81,6 +81,7 @@
  * @property target the id that the responding target gives itself; null if it gives none.
  * @property load the load of the target; null if the response does not say.
  * @property weights the version of the weights that the target holds; null if the response does not say.
+ * @property isLeaving whether the responding target says that it is shutting down.
  * @property idleTimeout how long the target keeps an idle connection open; null if the response does not say.
  * @property isSigned whether the response carries the target's signature; a success without it is treated as broken.
  */
@@ -92,6 +93,7 @@
     val target: String?,
     val load: ServerLoad?,
     val weights: Long?,
+    val isLeaving: Boolean,
     val idleTimeout: Duration?,
     val isSigned: Boolean,
 )
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -165,7 +165,7 @@
     }
 
     /** Whether a connection to the target may serve further requests. */
-    private val isTargetStaying: Boolean get() = state.directory.accepts(target)
+    private val isTargetStaying: Boolean get() = state.directory.isCurrent(target) && !target.isLeaving
 
     private fun write(connection: Channel) {
         val now = context.clock.now()
@@ -248,6 +248,7 @@
         this.response = response
         recordActivity()
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
+        if (head.isLeaving && !head.isOtherTarget) context.leavingTargets.observed(target)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
         if (grant.route.isStream && head.status in SUCCESS && head.isSigned) beginStream(response)
         return ResponseOwner.THIS_REQUEST
