Honor the pause that a target asks for when it turns a request away

Callers saw: requests that went on to a target within the time for which it had asked for none, and waited for it in vain. Cause: Retry-After of a target's 503 was not read; a full target was left out for 60 ms, and as a last resort not even so long. Change: a target's pause holds for this instance from the head of the response on, also as a last resort and for requests whose connection is being established. Requests that only pausing targets could serve are refused at once instead of waiting.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -37,8 +37,8 @@
     /** Returns the target with [id], or null if it is not listed. */
     public operator fun get(id: TargetId): Target? = targets[id]
 
-    /** Returns whether requests may be sent to [target]: it is still listed and is not leaving. */
-    public fun accepts(target: Target): Boolean = isCurrent(target) && !target.isLeaving
+    /** Returns whether requests may be sent to [target] at [now]: it is still listed, is not leaving and has not asked for a pause. */
+    public fun accepts(target: Target, now: MonotonicTime): Boolean = isCurrent(target) && !target.isLeaving && !target.isPaused(now)
 
     /** Returns whether [target] is listed and has not started again. */
     public fun isCurrent(target: Target): Boolean = targets[target.id] === target
@@ -156,6 +156,9 @@
     public var isLeaving: Boolean = entry.isLeaving
         private set
 
+    /** The time until which the target has asked this instance to send no requests; null if it has not. */
+    private var pausedUntil: MonotonicTime? = null
+
     /** The target's id. */
     public val id: TargetId get() = entry.id
 
@@ -173,6 +176,14 @@
         }
     }
 
+    /** Records that the target has asked this instance to send no requests until [time]. */
+    public fun pauseUntil(time: MonotonicTime) {
+        pausedUntil = maxOf(pausedUntil ?: time, time)
+    }
+
+    /** Returns whether the target has asked for no requests at [now]. */
+    public fun isPaused(now: MonotonicTime): Boolean = pausedUntil?.let { now < it } ?: false
+
     internal fun markLeaving() {
         isLeaving = true
     }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -44,7 +44,7 @@
 ) {
     /** Returns the target for [criteria], or null if no target can accept the request now. */
     public fun select(criteria: SelectionCriteria, now: MonotonicTime): Target? {
-        val eligible = directory.members(criteria.grant.pool).filter { isEligible(it, criteria) }
+        val eligible = directory.members(criteria.grant.pool).filter { isEligible(it, criteria) && !it.isPaused(now) }
         if (eligible.isEmpty()) return null
         val healthy = eligible.filterNot { it.health.isExcluded(now) }
         if (healthy.isEmpty()) return if (criteria.isLastResort) eligible.minBy { it.health.excludedUntil ?: now } else null
@@ -53,6 +53,15 @@
         return byAffinity(notLoading, prompt.model, criteria, now)
     }
 
+    /**
+     * Returns whether waiting until [time] is useless, because all targets that fit [criteria] have asked for a pause that lasts
+     * longer. It is not if there are none, since targets may register.
+     */
+    public fun areAllPaused(criteria: SelectionCriteria, time: MonotonicTime): Boolean {
+        val fitting = directory.members(criteria.grant.pool).filter { isEligible(it, criteria.copy(excluded = emptySet())) }
+        return fitting.isNotEmpty() && fitting.all { it.isPaused(time) }
+    }
+
     private fun isEligible(target: Target, criteria: SelectionCriteria): Boolean {
         if (target.isLeaving || target.id in criteria.excluded) return false
         val model = criteria.prompt?.model ?: return true
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -142,7 +142,7 @@
         val isQueueTimeOver = now >= progress.queueDeadline
         val target = state.selector.select(criteria.copy(isLastResort = isQueueTimeOver), now)
         if (target == null) {
-            if (isQueueTimeOver) return giveUp(progress.noTarget())
+            if (isQueueTimeOver || state.selector.areAllPaused(criteria, progress.queueDeadline)) return giveUp(progress.noTarget())
             context.schedule(TARGET_POLL_INTERVAL) { startAttempt() }
             return
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
@@ -82,6 +82,8 @@
  * @property load the load of the target; null if the response does not say.
  * @property weights the version of the weights that the target holds; null if the response does not say.
  * @property isLeaving whether the responding target says that it is shutting down.
+ * @property retryAfter for how long the responding target, which turned the request away, wants no requests from this instance;
+ *    null if the response does not say.
  * @property idleTimeout how long the target keeps an idle connection open; null if the response does not say.
  * @property isSigned whether the response carries the target's signature; a success without it is treated as broken.
  */
@@ -94,6 +96,7 @@
     val load: ServerLoad?,
     val weights: Long?,
     val isLeaving: Boolean,
+    val retryAfter: Duration?,
     val idleTimeout: Duration?,
     val isSigned: Boolean,
 )
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -147,7 +147,7 @@
             close()
             return observer.failed(this, SendFailure.UNREACHABLE, "no connection")
         }
-        if (!state.directory.accepts(target)) {
+        if (!state.directory.accepts(target, context.clock.now())) {
             releaseUnused(connection)
             close()
             return observer.failed(this, SendFailure.NOT_SENT, "the target no longer accepts requests")
@@ -248,12 +248,19 @@
         this.response = response
         recordActivity()
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
-        if (head.isLeaving && !head.isOtherTarget) context.leavingTargets.observed(target)
+        if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
         if (grant.route.isStream && head.status in SUCCESS && head.isSigned) beginStream(response)
         return ResponseOwner.THIS_REQUEST
     }
 
+    private fun recordAvailability(head: TargetResponseHead) {
+        if (head.isLeaving) context.leavingTargets.observed(target)
+        val pause = head.retryAfter ?: return
+        target.pauseUntil(lastActivityAt + pause)
+        log.event("target_paused", "target" to target.id.text, "request" to request.id.text, "millis" to pause.inWholeMilliseconds)
+    }
+
     private fun recordActivity() {
         endSilence()
         lastActivityAt = context.clock.now()
