Do not take a response without content for the end of a stream

Callers saw: a stream that ended as if it were complete after one of its events, if the target that it was resumed at answered 204. Cause: any signed success continued a stream; one without content ended it at once. Evidence: ResumedStreamSpec, "a success without content", failed before. Its other twelve cases passed: errors of six kinds, whole, in chunks, without a length and broken off, a success without a signature or that is no event stream, and bytes that are no HTTP never reached the caller. Change: 204 and 205 neither begin nor continue a stream; a resumed one tries another target or is broken off. Result: the spec passes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -250,7 +250,7 @@
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
         if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
-        if (grant.route.isStream && head.status in SUCCESS && head.isSigned) beginStream(response)
+        if (grant.route.isStream && head.status in STREAM_SUCCESS && head.isSigned) beginStream(response)
         return ResponseOwner.THIS_REQUEST
     }
 
@@ -435,6 +435,9 @@
 
     private companion object {
         val SUCCESS = 200..299
+
+        /** The status codes that begin or continue a stream: all successes but 204 and 205, which have no content. */
+        val STREAM_SUCCESS = SUCCESS.toSet() - setOf(204, 205)
         const val SERVER_ERROR = 500
 
         /** A resumable stream that stalls for longer resumes at another target; callers consider 500 ms late and disconnect after 4 s. */
