End a planned stop with an answer to every caller

Callers saw: requests that arrived late in a stop were sent to a target and cut when the process exited, also such as may not run again; the last bytes of responses to slow callers were lost. Cause: only new streams were refused late in a stop. What still ran at its end was cut with the process. A connection counted as idle, and the stop as done, while responses waited to be sent. Idle connections are closed after their last response has been sent.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -141,9 +141,19 @@
     /** Refuses a request that takes too long to arrive, and closes the connection. */
     fun refuseSlowRequest() = refuseAndClose(ForwardingRefusal.ARRIVED_TOO_SLOWLY)
 
-    /** Closes the connection if it is idle. */
+    /** Closes the connection, whatever is still to be sent. */
+    fun close() {
+        ctx.close()
+    }
+
+    /** Closes the connection if it is idle, after the last response has been sent. */
     fun closeIfIdle() {
-        if (isIdle) ctx.close()
+        if (isIdle && !isClosing) closeAfterWrites()
+    }
+
+    private fun closeAfterWrites() {
+        isClosing = true
+        ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
@@ -161,8 +171,7 @@
         isBusy = false
         lastActive = context.clock.now()
         if (closesConnection || isClosing) {
-            isClosing = true
-            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+            closeAfterWrites()
             return
         }
         startNext()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
@@ -27,7 +27,7 @@
     private val connections = LinkedHashSet<CallerConnectionHandler>()
 
     /** Whether the instance is shutting down; each response then closes its connection. */
-    val isLeaving: Boolean get() = context.stoppingSince != null
+    val isLeaving: Boolean get() = context.plannedStop != null
 
     /** The size and time limits for callers; the current configuration sets them. */
     val limits: CallerLimits get() = context.state.authorizer.configuration?.callerLimits ?: UNCONFIGURED_LIMITS
@@ -64,12 +64,15 @@
             val inactiveFor = now - connection.lastActive
             when {
                 connection.isReading && inactiveFor > limits.headerTimeout -> connection.refuseSlowRequest()
-                connection.isIdle && inactiveFor > limits.idleTimeout + IDLE_MARGIN -> connection.closeIfIdle()
+                connection.isIdle && inactiveFor > limits.idleTimeout + IDLE_MARGIN -> connection.close()
             }
         }
     }
 
-    /** Closes all idle connections. */
+    /** Whether no caller is connected. */
+    val hasNoConnections: Boolean get() = connections.isEmpty()
+
+    /** Closes all idle connections, once their last responses have been sent. */
     fun closeIdle() = connections.toList().forEach { it.closeIfIdle() }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -311,9 +311,7 @@
     private fun applyRelayed(peer: InstanceId, range: RelayedRange, now: MonotonicTime) {
         when (range.topic) {
             StoreTopic.OPERATIONS -> operations.applyRelayed(range, now)
-
             StoreTopic.REGISTRY -> registry.applyRelayed(peer, range, now)
-
             StoreTopic.INSTANCES, StoreTopic.CLAIMS -> context.log.event("relay_ignored", "topic" to range.topic.name)
         }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -80,7 +80,10 @@
     /** Authorizes the request, charges it to the workspace's token bucket and starts the first attempt. */
     fun start() {
         grant = state.authorizer.authorize(request).getOrElse { refusal -> return refuseEarly(refusal, RETRY_AFTER_UNCONFIGURED) }
-        if (grant.route.isStream && context.refusesNewStreams()) return refuseEarly(ForwardingRefusal.STOPPING, RETRY_AFTER_STOPPING)
+        progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool))
+        if (context.plannedStop?.refuses(grant.route.isStream, progress.deadline, arrivedAt) ?: false) {
+            return refuseEarly(ForwardingRefusal.STOPPING, RETRY_AFTER_STOPPING)
+        }
         val requestFingerprint = Fingerprint(grant.workspace?.name, context.hash(request.path, body))
         fingerprint = requestFingerprint
         if (state.crashes.verdict(requestFingerprint, arrivedAt) is QuarantineVerdict.Quarantined) {
@@ -91,7 +94,6 @@
             return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
         }
         if (!charge()) return
-        progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool))
         val remaining = progress.deadline - arrivedAt
         deadlineTimer = context.schedule(remaining, ::deadlinePassed)
         startAttempt()
@@ -215,6 +217,15 @@
     /** Whether the request has taken longer than the latency objective of its route. */
     private fun exceedsObjective(): Boolean = context.clock.now() - arrivedAt > grant.route.latencyObjective
 
+    /** Ends the request because the process exits. */
+    fun instanceStops() {
+        if (ended) return
+        val outstanding = currentAttempt
+        val sent = outstanding?.isWritten == true
+        outstanding?.cancel(null)
+        giveUp(progress.timedOut(sent))
+    }
+
     /** Handles the caller's disconnect: cancels the attempt at the target if the request is repeatable or streams. */
     fun callerGone() {
         if (ended) return
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.quarantine.CrashNotice
 import org.cactuspulley.runtime.control.MonotonicClock
 import java.util.concurrent.Future
@@ -54,11 +53,8 @@
     /** The exchanges that have not ended. */
     val exchanges = LinkedHashSet<ForwardedExchange>()
 
-    /** When the instance began to shut down; null while it has not. */
-    var stoppingSince: MonotonicTime? = null
-
-    /** Whether new streams are refused, because they might not end before the process does. */
-    fun refusesNewStreams(): Boolean = stoppingSince?.let { clock.now() - it > STREAM_START_LIMIT } ?: false
+    /** The shutdown of the instance; null before it begins. */
+    var plannedStop: PlannedStop? = null
 
     /** Records that a target broke the connection while it ran a request, and notifies the fleet if that is new. */
     fun reportCrash(notice: CrashNotice) {
@@ -90,9 +86,6 @@
     fun isReusable(response: HttpResponse): Boolean = HttpUtil.isKeepAlive(response) && response.isFramed
 
     private companion object {
-        /** After this time no caller is directed to this instance; the rest of the grace period of 8 s is for streams that have started. */
-        val STREAM_START_LIMIT = 2_800.milliseconds
-
         /** Collects several changes into one digest; a quarter of the regular period. */
         val DIGEST_DELAY = 100.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -169,8 +169,7 @@
         } else {
             withdrawOutdatedAttempts()
         }
-        val since = context.stoppingSince
-        if (since != null) stopIfDone(since, now)
+        context.plannedStop?.let { stopIfDone(it, now) }
     }
 
     /** Withdraws the requests that wait at targets whose weights are too old to begin on. */
@@ -197,7 +196,7 @@
     }
 
     private fun updateReadiness() {
-        val serves = context.stoppingSince == null && state.authorizer.configuration != null && registry.replica.next != null
+        val serves = context.plannedStop == null && state.authorizer.configuration != null && registry.replica.next != null
         if (serves == state.fleet.selfServes) return
         state.fleet.selfServes = serves
         log.event(if (serves) "ready" else "not_ready")
@@ -223,26 +222,33 @@
     /** Shuts down gracefully: redirects callers to other instances and serves pending requests; completes when the process may exit. */
     public fun stop(): CompletionStage<Unit> {
         loop.execute {
-            if (context.stoppingSince != null) return@execute
-            context.stoppingSince = clock.now()
+            if (context.plannedStop != null) return@execute
+            val now = clock.now()
+            context.plannedStop = PlannedStop(now, now + settings.stop.deadlineMillis.milliseconds)
             log.event("stopping", "exchanges" to context.exchanges.size)
             updateReadiness()
         }
         return stopped
     }
 
-    private fun stopIfDone(since: MonotonicTime, now: MonotonicTime) {
-        val stoppingFor = now - since
-        if (stoppingFor < ADDRESS_LIFETIME * MAX_KEPT_LIFETIMES) return
+    private fun stopIfDone(stop: PlannedStop, now: MonotonicTime) {
+        if (now - stop.startedAt < ADDRESS_LIFETIME * MAX_KEPT_LIFETIMES) return
         channels.forEach { it.close() }
         channels.clear()
         listener.closeIdle()
-        if (context.exchanges.isNotEmpty() && stoppingFor < settings.stop.deadlineMillis.milliseconds) return
-        log.event("stopped", "exchanges" to context.exchanges.size)
+        if (now >= stop.endsAt) endExchanges()
+        // A connection is closed when its caller has received the response.
+        if (!listener.hasNoConnections && now < stop.exitAt) return
+        log.event("stopped")
         peers.close()
         stopped.complete(Unit)
     }
 
+    private fun endExchanges() {
+        if (context.exchanges.isNotEmpty()) log.event("exchanges_ended", "exchanges" to context.exchanges.size)
+        context.exchanges.toList().forEach { it.instanceStops() }
+    }
+
     private inner class OperationsListener : TopicListener {
         override fun recordChanged(record: KeyedRecord): Boolean {
             val value = record.value ?: return false
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
@@ -135,7 +135,7 @@
                     val record = KeyedRecord("config", 5, byteArrayOf(1))
                     instances[0].operations.applyRelayed(
                         RelayedRange(StoreTopic.OPERATIONS, 5, 6, listOf(RelayedRecord("config", 5, byteArrayOf(1)))),
-                    now,
+                        now,
                     )
                     instances[0].exchange.operationsWereRead(5, listOf(record))
                     instances.filterNot { it.isDown }.map { it.operations.replica.next }.toSet() shouldBe setOf(6L)
