--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -19,6 +19,7 @@
 import org.cactuspulley.runtime.platform.HostAndPort
 import org.cactuspulley.runtime.settings.FleetBounds
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -140,7 +141,7 @@
 }
 
 /** A simulation, in virtual time, of instances whose datagrams arrive immediately. */
-internal class ExchangeSimulation(size: Int, zones: Int) {
+internal class ExchangeSimulation(size: Int, zones: Int, private val random: Random = Random(1)) {
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private val loop = channel.eventLoop()
     var now = MonotonicTime.ZERO + 100_000.milliseconds
@@ -162,13 +163,16 @@
     /** The number of relayed records that were sent, counted once for each receiving peer. */
     var recordsSent = 0
 
+    /** The share of all datagrams that are lost. */
+    var lossRate = 0.0
+
     private var ticks = 0
 
     inner class SimulatedInstance(val member: FleetMember) {
         /** Whether the instance neither sends nor receives datagrams. */
         var isDown = false
 
-        /** Whether datagrams to the instance are lost. */
+        /** Whether datagrams to and from the instance are lost. */
         var losesDatagrams = false
         val store = UnresponsiveStore()
         val registryStore = RegistryStore(registryLog)
@@ -223,7 +227,8 @@
         total++
         if (to.member.zone != from.member.zone) crossZone++
         recordsSent += message.digest?.relayedRanges.orEmpty().sumOf { it.records.size }
-        if (!to.isDown && !to.losesDatagrams) to.exchange.receive(message)
+        val isLost = to.isDown || to.losesDatagrams || from.losesDatagrams || random.nextDouble() < lossRate
+        if (!isLost) to.exchange.receive(message)
     }
 
     /** Simulates the given number of digest periods, with a bundle after every second one. */
@@ -263,8 +268,8 @@
     }
 }
 
-internal fun <T> simulate(size: Int, zones: Int = 4, action: ExchangeSimulation.() -> T): T =
-    ExchangeSimulation(size, zones).run {
+internal fun <T> simulate(size: Int, zones: Int = 4, random: Random = Random(1), action: ExchangeSimulation.() -> T): T =
+    ExchangeSimulation(size, zones, random).run {
         try {
             action()
         } finally {
