Never keep a guessed version of weights that a target refuses

Cause: a target that refuses the expected version (421) does not say which it has. The newest named version was then recorded as if the target had shown it; it never fell back, and digests told all peers. A target whose orders were carried out late had version 2 while 3 was named: from then on the whole fleet expected 3, later 4, of it, and each request for the prompts that belong to it was refused and used up the retry budget. The rollout took it for up to date and never ordered it again. UnknownWeightsSpec failed before in three of its four cases. Change: LoadedWeights keeps what is known, by entry or response, apart from what is assumed after a refusal: the next version for 1.5 s, then the known one again. A target that has refused all named versions gets no prompts for that time. Only known versions go to peers and to the rollout.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
@@ -152,7 +152,7 @@
         target: Target,
         now: MonotonicTime,
     ): CachePlan? {
-        val weights = target.weights(prompt.model) ?: return null
+        val weights = target.probableWeights(prompt.model, now) ?: return null
         val scope = scope(grant, prompt, weights)
         val store = selectStore(configuration, prompt, now)
         val saves = store != null && startSave(scope, prompt, now)
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -138,7 +138,7 @@
     /** The newest registry entry. */
     public var entry: TargetEntry = entry
         private set
-    private val observedWeights = HashMap<ModelName, Long>()
+    private val loadedWeights = HashMap<ModelName, LoadedWeights>()
 
     /** The target's health according to the outcomes of requests. */
     public val health: TargetHealth = TargetHealth()
@@ -165,15 +165,27 @@
     /** Returns the newest known version of [model]'s weights on the target; null if the target does not serve the model. */
     public fun weights(model: ModelName): Long? {
         val registered = entry.weights[model] ?: return null
-        return maxOf(registered, observedWeights[model] ?: 0)
+        return loadedWeights[model]?.known(registered) ?: registered
+    }
+
+    /**
+     * Returns the version of [model]'s weights that requests should expect of the target at [now]; null if it does not serve the
+     * model or has refused all versions that it may have.
+     */
+    public fun probableWeights(model: ModelName, now: MonotonicTime): Long? {
+        val registered = entry.weights[model] ?: return null
+        val loaded = loadedWeights[model] ?: return registered
+        return loaded.probable(registered, now)
+    }
+
+    /** Records at [now] that the target refused [version] of [model], of which [newest] is the newest, without naming its own. */
+    public fun recordRefusedWeights(model: ModelName, version: Long, newest: Long, now: MonotonicTime) {
+        loadedWeights.getOrPut(model) { LoadedWeights() }.refuse(version, newest, now)
     }
 
     /** Records that the target runs [version] of [model]. */
     public fun recordWeights(model: ModelName, version: Long) {
-        if (version > (observedWeights[model] ?: 0)) {
-            observedWeights[model] = version
-            loadingUntil = null
-        }
+        if (loadedWeights.getOrPut(model) { LoadedWeights() }.observe(version)) loadingUntil = null
     }
 
     /** Records that the target has asked this instance to send no requests until [time]. */
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -44,7 +44,7 @@
 ) {
     /** Returns the target for [criteria], or null if no target can accept the request now. */
     public fun select(criteria: SelectionCriteria, now: MonotonicTime): Target? {
-        val eligible = directory.members(criteria.grant.pool).filter { isEligible(it, criteria) && !it.isPaused(now) }
+        val eligible = directory.members(criteria.grant.pool).filter { isEligible(it, criteria, now) && !it.isPaused(now) }
         if (eligible.isEmpty()) return null
         val healthy = eligible.filterNot { it.health.isExcluded(now) }
         if (healthy.isEmpty()) return if (criteria.isLastResort) eligible.minBy { it.health.excludedUntil ?: now } else null
@@ -58,14 +58,14 @@
      * longer. It is not if there are none, since targets may register.
      */
     public fun areAllPaused(criteria: SelectionCriteria, time: MonotonicTime): Boolean {
-        val fitting = directory.members(criteria.grant.pool).filter { isEligible(it, criteria.copy(excluded = emptySet())) }
+        val fitting = directory.members(criteria.grant.pool).filter { isEligible(it, criteria.copy(excluded = emptySet()), time) }
         return fitting.isNotEmpty() && fitting.all { it.isPaused(time) }
     }
 
-    private fun isEligible(target: Target, criteria: SelectionCriteria): Boolean {
+    private fun isEligible(target: Target, criteria: SelectionCriteria, now: MonotonicTime): Boolean {
         if (target.isLeaving || target.id in criteria.excluded) return false
         val model = criteria.prompt?.model ?: return true
-        val weights = target.weights(model) ?: return false
+        val weights = target.probableWeights(model, now) ?: return false
         return criteria.minimumWeights == null || weights >= criteria.minimumWeights
     }
 
@@ -77,7 +77,7 @@
         val loads = candidates.associateWith { it.load.total(now) }
         val loadLimit = LOAD_LIMIT_BASE + LOAD_LIMIT_FACTOR * loads.values.sum() / candidates.size
         val ranked = rendezvousRank(affinity.toString(), candidates) { it.id.text }.filter { loads.getValue(it) <= loadLimit }
-        val preferredTarget = ranked.firstOrNull { preferred == null || (it.weights(model) ?: 0) >= preferred }
+        val preferredTarget = ranked.firstOrNull { preferred == null || (it.probableWeights(model, now) ?: 0) >= preferred }
         return preferredTarget ?: ranked.firstOrNull() ?: candidates.minBy { loads.getValue(it) }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -243,7 +243,8 @@
     fun withdrawIfOutdated(model: ModelName, minimum: Long) {
         val waiting = currentAttempt ?: return
         if (ended || request.prompt?.model != model || !waiting.isWaiting) return
-        if ((waiting.target.weights(model) ?: return) >= minimum) return
+        val known = waiting.target.weights(model) ?: return
+        if (maxOf(known, waiting.expectedWeights ?: known) >= minimum) return
         waiting.cancel(null)
         failed(waiting, SendFailure.WITHDRAWN, "waits on weights older than $minimum")
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -108,7 +108,7 @@
     /** The load that this attempt adds to its target, in the units of [TargetLoad]. */
     var units = TargetLoad.unitsUntilFirstEvent(
         request.prompt,
-        request.prompt?.let { state.cache.reusableTokens(grant, it, target.weights(it.model), startedAt) } ?: 0,
+        request.prompt?.let { state.cache.reusableTokens(grant, it, target.probableWeights(it.model, startedAt), startedAt) } ?: 0,
     )
         private set
 
@@ -378,15 +378,18 @@
         observer.responseReceived(this, httpResponse, head.status, body)
     }
 
-    /** Handles a misdirected request: another target uses the address, or the target has newer weights than were known. */
+    /** Handles a misdirected request: another target uses the address, or the target has other weights than were expected. */
     private fun handleMisdirected(head: TargetResponseHead) {
-        val newer = head.weights ?: model?.let { state.desiredWeights.newest(it)?.version }
-        val isSame = head.target == null || head.target == target.id.text
-        if (model != null && newer != null && isSame) {
-            target.recordWeights(model, newer)
-        } else {
+        val expected = cachePlan?.expectedWeights
+        val isOther = head.target != null && head.target != target.id.text
+        if (model == null || expected == null || isOther) {
             state.directory.removeMisidentified(target.id)
             context.connections.drop(target.id)
+        } else if (head.weights != null) {
+            target.recordWeights(model, head.weights)
+        } else {
+            val newest = state.desiredWeights.newest(model)?.version ?: expected
+            target.recordRefusedWeights(model, expected, newest, context.clock.now())
         }
     }
 
