Reset the connection of a request that is cancelled at its target

Callers saw: nothing themselves; targets got requests up to 1.1 s after their callers had left (rule GONE), and ran them. Cause: a cancelled attempt closed its connection in the ordinary way. What a cut or slow link had held up of the request was still sent, behind it the end of the connection. Change: cancelling resets the connection, which discards what was not sent. Result: CancelledRequestSpec passes, and so do the specs that look at ended connections (ScriptedTarget counts a reset as an end, too).

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -413,11 +414,15 @@
         channel?.config()?.isAutoRead = !paused
     }
 
-    /** Cancels the attempt and closes its connection, so that the target notices; [failure], if any, counts against the target. */
+    /**
+     * Cancels the attempt and resets its connection, so that the target notices; [failure], if any, counts against the target. After
+     * an ordinary close, what the network has held up of the request would still reach the target.
+     */
     fun cancel(failure: SendFailure?) {
         if (isClosed) return
         val connection = channel
         connection?.pipeline()?.get(TargetResponseHandler::class.java)?.listener = null
+        connection?.config()?.setOption(ChannelOption.SO_LINGER, 0)
         connection?.close()
         failure?.let { target.health.recordFailure(it, context.clock.now()) }
         close()
