Choose the relays of a zone by the capacity of their links

They send every bundle that they receive to their whole zone, some 24 Mbit/s by the sizes of digests, while most machines of the grown site have links of 7 Mbit/s and two a zone have 140. A full link loses datagrams. Change: instances announce the capacity of their links (from the machine's limits, in the settings' new section [link]); the fastest relay, and rendezvous hashing decides among equal ones.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -15,6 +15,7 @@
  *    set back.
  * @property callerAddress the host and port that callers connect to.
  * @property peerAddress the host and port that other instances send to.
+ * @property linkMegabits the capacity of the instance's network link in megabits per second; 0 if it is not known.
  */
 public data class FleetMember(
     val id: InstanceId,
@@ -22,6 +23,7 @@
     val zone: ZoneName,
     val callerAddress: String,
     val peerAddress: String,
+    val linkMegabits: Double = 0.0,
 )
 
 /** Tracks the other instances and whether they are live and serving, by their announcements and messages. */
@@ -90,11 +92,13 @@
 
     /**
      * Returns the live instances that relay the messages of [zone] to other zones in a large fleet, in an order on
-     * which all instances agree.
+     * which all instances agree. Those with the fastest links come first: a relay sends what it receives to its whole
+     * zone, and a link that this fills loses the datagrams of callers and peers alike.
      */
     public fun zoneRelays(zone: ZoneName, now: MonotonicTime): List<FleetMember> {
         val live = live(now).filter { it.zone == zone } + listOf(self).filter { zone == self.zone }
-        return live.sortedByDescending { rendezvousWeight(RELAY_SUBJECT, it.id.text) }.take(RELAYS_PER_ZONE)
+        val order = compareByDescending<FleetMember> { it.linkMegabits }.thenByDescending { rendezvousWeight(RELAY_SUBJECT, it.id.text) }
+        return live.sortedWith(order).take(RELAYS_PER_ZONE)
     }
 
     /**
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/FleetViewSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/FleetViewSpec.kt
@@ -70,6 +70,26 @@
         }
     }
 
+    describe("the relays of a zone") {
+        // Guards against relays whose links are filled by what they pass on, so that news of targets and operators is lost.
+        it("are those with the fastest links, in an order on which all instances agree") {
+            fun instance(number: Int) = member("i-$number", 1).copy(linkMegabits = if (number in setOf(4, 13)) 140.0 else 7.0)
+            val relays = (1..20).map { own ->
+                val fleet = FleetView(instance(own))
+                (1..20).forEach { fleet.recordContact(instance(it), serves = true, reachesStore = true, at(1.seconds)) }
+                fleet.zoneRelays(ZoneName("zone-a"), at(1.seconds)).map { it.id.text }
+            }.toSet()
+            relays.single().toSet() shouldBe setOf("i-4", "i-13")
+        }
+
+        it("are replaced by others when they are not live") {
+            val fleet = FleetView(member("self", 1))
+            fleet.recordContact(member("fast", 1).copy(linkMegabits = 140.0), serves = true, reachesStore = true, at(1.seconds))
+            (1..5).forEach { fleet.recordContact(member("i-$it", 1), serves = true, reachesStore = true, at(4.seconds)) }
+            fleet.zoneRelays(ZoneName("zone-a"), at(4.seconds)).map { it.id.text }.contains("fast") shouldBe false
+        }
+    }
+
     describe("the addresses for callers") {
         it("name live serving instances, those in the caller's zone first") {
             val fleet = FleetView(member("self", 1))
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -197,6 +197,7 @@
             callerAddress = self.callerAddress,
             peerAddress = self.peerAddress,
             serves = state.fleet.selfServes,
+            linkMegabits = self.linkMegabits,
             reachesStore = !operations.isFailing,
             operationsNext = operations.replica.next,
             registryNext = registry.replica.next,
@@ -317,7 +318,7 @@
     }
 
     private fun FleetDigest.member() =
-        FleetMember(InstanceId(id), InstanceIncarnation(incarnation), ZoneName(zone), callerAddress, peerAddress)
+        FleetMember(InstanceId(id), InstanceIncarnation(incarnation), ZoneName(zone), callerAddress, peerAddress, linkMegabits)
 
     private companion object {
         /** How long a peer's read position is valid; after that, the peer may have read further by itself or have stopped. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -24,6 +24,7 @@
  * @property zone the zone of the instance.
  * @property callerAddress the `host:port` at which the instance serves callers.
  * @property peerAddress the `host:port` at which the instance receives peer messages.
+ * @property linkMegabits the capacity of the instance's network link in megabits per second; 0 if it is not known.
  * @property serves whether the instance serves callers.
  * @property reachesStore whether the store answered the instance's last read of the operators' topic.
  * @property operationsNext the offset up to which the instance knows the operators' topic; null if it has not read it.
@@ -53,6 +54,7 @@
     val callerAddress: String,
     val peerAddress: String,
     val serves: Boolean,
+    val linkMegabits: Double = 0.0,
     val reachesStore: Boolean = false,
     val operationsNext: Long? = null,
     val registryNext: Long? = null,
@@ -197,6 +199,7 @@
  * @property zone the zone of the instance.
  * @property callerAddress the `host:port` at which the instance serves callers.
  * @property peerAddress the `host:port` at which the instance receives peer messages.
+ * @property linkMegabits the capacity of the instance's network link in megabits per second; 0 if it is not known.
  */
 @Serializable
 internal data class Announcement(
@@ -205,6 +208,7 @@
     val zone: String,
     val callerAddress: String,
     val peerAddress: String,
+    val linkMegabits: Double = 0.0,
 )
 
 /** The record in the platform's log by which the instance [holder], in its [incarnation], claims the right to issue weight orders. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -70,6 +70,7 @@
         ZoneName(settings.instance.zone),
         settings.listen.callers,
         settings.listen.peers,
+        settings.link.megabitsPerSecond,
     )
     private val metrics = ForwardingMetrics()
     private val state = ForwardingState(self, settings.bounds, clock.now())
@@ -142,7 +143,7 @@
     }
 
     private fun announce() {
-        val announcement = Announcement(self.id.text, incarnation, self.zone.text, self.callerAddress, self.peerAddress)
+        val announcement = Announcement(self.id.text, incarnation, self.zone.text, self.callerAddress, self.peerAddress, self.linkMegabits)
         val value = Cbor.encodeToByteArray(Announcement.serializer(), announcement)
         ports.store.append(StoreTopic.INSTANCES, self.id.text, value, null) { result ->
             result.fold(
@@ -314,6 +315,7 @@
                     ZoneName(announcement.zone),
                     announcement.callerAddress,
                     announcement.peerAddress,
+                    announcement.linkMegabits,
                 ),
             )
             context.scheduleDigest()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -13,6 +13,7 @@
     val instance: InstanceSettings,
     val listen: ForwardingListenSettings,
     val store: StoreSettings,
+    val link: LinkSettings = LinkSettings(),
     val bounds: FleetBounds = FleetBounds(),
     val log: LogSettings = LogSettings(LogFormat.JSON.text),
     val stop: StopSettings = StopSettings(),
@@ -32,6 +33,16 @@
 @Serializable
 public data class StoreSettings(val address: String)
 
+/**
+ * The network link of the machine.
+ *
+ * @property megabitsPerSecond the capacity in megabits per second, as an integer or a float; 0 if it is not known.
+ */
+@Serializable
+public data class LinkSettings(
+    @SerialName("megabits_per_second") @Serializable(LenientDoubleSerializer::class) val megabitsPerSecond: Double = 0.0,
+)
+
 /**
  * Limits that apply to all instances together. The platform provides them, as integers or as floats.
  *
@@ -75,6 +86,7 @@
         Triple("bounds.rate_slack_tokens", bounds.rateSlackTokens, 0.0..1e12),
         Triple("bounds.lease_millis", bounds.leaseMillis.toDouble(), 1.0..600_000.0),
         Triple("bounds.start_limit_millis", bounds.startLimitMillis, 1.0..600_000.0),
+        Triple("link.megabits_per_second", settings.link.megabitsPerSecond, 0.0..1e6),
     )
     ranges.firstOrNull { (_, value, allowed) -> value !in allowed }?.let { (key, value, allowed) ->
         return SettingsError.ValueNotAllowed(file, key, value.toString(), "${allowed.start} to ${allowed.endInclusive}")
