Keep to the newest refused version, and to a leaving entry under an odd start

Cause: read as one who doubts the change: requests that were sent before a refusal may be refused late for an older version, which then was assumed to be refused last; and an entry that says leaving counted only through the table of leaving starts, which an entry with an odd start may fill. Change: of refused versions the newest counts while an assumption holds; an entry that says leaving marks its target by itself.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/LoadedWeights.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/LoadedWeights.kt
@@ -27,9 +27,12 @@
         return true
     }
 
-    /** Records at [now] that the target refused [version], while [newest] was the newest version named. */
+    /**
+     * Records at [now] that the target refused [version], while [newest] was the newest version named. Requests that were sent before
+     * a refusal may be refused for an older version after it.
+     */
     fun refuse(version: Long, newest: Long, now: MonotonicTime) {
-        refused = version
+        refused = if (isAssumed(now)) maxOf(refused, version) else version
         newestNamed = newest
         assumedUntil = now + ASSUMPTION_LIFETIME
     }
@@ -40,10 +43,11 @@
      */
     fun probable(registered: Long, now: MonotonicTime): Long? {
         val known = known(registered)
-        val isRefused = assumedUntil?.let { now < it } ?: false
-        return if (!isRefused || known > refused) known else (refused + 1).takeIf { it <= newestNamed }
+        return if (!isAssumed(now) || known > refused) known else (refused + 1).takeIf { it <= newestNamed }
     }
 
+    private fun isAssumed(now: MonotonicTime): Boolean = assumedUntil?.let { now < it } ?: false
+
     private companion object {
         /** The time in which the target reports to the registry again, and a relay of the report. */
         val ASSUMPTION_LIFETIME: Duration = 1_500.milliseconds
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -202,5 +202,6 @@
 
     internal fun update(newEntry: TargetEntry) {
         entry = newEntry
+        if (newEntry.isLeaving) isLeaving = true
     }
 }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/LoadedWeightsSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/LoadedWeightsSpec.kt
@@ -33,6 +33,14 @@
             loaded.probable(registered = 1, START + 1.seconds) shouldBe null
         }
 
+        // Guards against going back to a refused version when requests that expected it are refused late.
+        it("are not assumed to be older because of requests that were sent earlier") {
+            val loaded = LoadedWeights()
+            loaded.refuse(version = 2, newest = 4, START)
+            loaded.refuse(version = 1, newest = 4, START)
+            loaded.probable(registered = 1, START) shouldBe 3
+        }
+
         // Guards against an assumption that stays although the target reports its weights again.
         it("are the known ones again when the target shows newer ones, or after the time of a report") {
             val loaded = LoadedWeights()
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
@@ -58,6 +58,20 @@
             directory[id] shouldBe null
         }
 
+        // Guards against a target that is used again because another writer's entry, or a late one, says that it is ready.
+        it("keeps a start that is leaving out of use, whatever its later entries say, until it starts again") {
+            val directory = TargetDirectory()
+            directory.upsert(entry("t-1"))
+            directory.recordLeaving(id, startedAtMillis = 1_000) shouldBe true
+            directory.upsert(entry("t-1", reportNumber = 2))
+            directory[id]?.isLeaving shouldBe true
+            directory.remove(id, START)
+            directory.upsert(entry("t-1", reportNumber = 3))
+            directory[id]?.let { directory.accepts(it, START) } shouldBe false
+            directory.upsert(entry("t-1", startedAt = 2_000))
+            directory[id]?.let { directory.accepts(it, START) } shouldBe true
+        }
+
         it("does not defer the removal of a leaving target") {
             val directory = TargetDirectory()
             directory.upsert(entry("t-1", leaving = true))
