Keep refused versions of weights refused while later ones are left to try

Callers saw: nothing yet; on a slow machine a target could be asked for a version again that it had refused. Cause: the assumption after a refusal lapsed after 1.5 s, although versions only grow, so that a refused one stays refused. Change: only a target that has refused all named versions is left out for 1.5 s and then tried from the known one on. LoadedWeightsSpec's case on the lapse is replaced by three that are as strict: an assumption stays while versions are left, all refused ones are tried again after the delay, and an entry overrides it.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/LoadedWeights.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/LoadedWeights.kt
@@ -8,14 +8,14 @@
  * What is known of the weights of one model on one start of a target, whose versions only grow.
  *
  * The registry and the target's responses tell the version. A target may refuse the version that is expected of it without saying
- * which it has, because it has loaded newer weights since its last report. Then a later version is assumed for a while, but never
- * known: an assumption that stayed would make the target refuse all further requests.
+ * which it has, because it has loaded newer weights since its last report. Then the next version is assumed, but never known: an
+ * assumption that counted as known would make the target refuse all further requests.
  */
 internal class LoadedWeights {
     private var observed = 0L
     private var refused = 0L
     private var newestNamed = 0L
-    private var assumedUntil: MonotonicTime? = null
+    private var retryAt = MonotonicTime.ZERO
 
     /** Returns the version that the target is known to have, whose entry says [registered]. */
     fun known(registered: Long): Long = maxOf(registered, observed)
@@ -32,24 +32,28 @@
      * a refusal may be refused for an older version after it.
      */
     fun refuse(version: Long, newest: Long, now: MonotonicTime) {
-        refused = if (isAssumed(now)) maxOf(refused, version) else version
+        val startsAgain = refused >= newestNamed && now >= retryAt
+        refused = if (startsAgain) version else maxOf(refused, version)
         newestNamed = newest
-        assumedUntil = now + ASSUMPTION_LIFETIME
+        retryAt = now + RETRY_DELAY
     }
 
     /**
-     * Returns the version that the target probably has at [now]: the next one after the refused version, or the known one; null if
-     * it has refused all versions that it may have.
+     * Returns the version that the target probably has at [now]: the known one or, if it was refused, the one after the newest refused
+     * version; null if the target has just refused all versions that it may have.
      */
     fun probable(registered: Long, now: MonotonicTime): Long? {
         val known = known(registered)
-        return if (!isAssumed(now) || known > refused) known else (refused + 1).takeIf { it <= newestNamed }
+        return when {
+            known > refused -> known
+            refused < newestNamed -> refused + 1
+            now < retryAt -> null
+            else -> known
+        }
     }
 
-    private fun isAssumed(now: MonotonicTime): Boolean = assumedUntil?.let { now < it } ?: false
-
     private companion object {
-        /** The time in which the target reports to the registry again, and a relay of the report. */
-        val ASSUMPTION_LIFETIME: Duration = 1_500.milliseconds
+        /** After this time, in which the target reports to the registry again, one that has refused all versions is tried again. */
+        val RETRY_DELAY: Duration = 1_500.milliseconds
     }
 }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/LoadedWeightsSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/LoadedWeightsSpec.kt
@@ -42,11 +42,30 @@
         }
 
         // Guards against an assumption that stays although the target reports its weights again.
-        it("are the known ones again when the target shows newer ones, or after the time of a report") {
+        it("are the known ones again when the target shows newer ones") {
             val loaded = LoadedWeights()
             loaded.refuse(version = 1, newest = 5, START)
             loaded.probable(registered = 4, START) shouldBe 4
+        }
+
+        // Guards against slow requests that go back to a version which the target refused before.
+        it("are not assumed anew because time passes, as long as versions are left") {
+            val loaded = LoadedWeights()
+            loaded.refuse(version = 1, newest = 3, START)
+            loaded.probable(registered = 1, START + 60.seconds) shouldBe 2
+            loaded.refuse(version = 2, newest = 3, START + 60.seconds)
+            loaded.probable(registered = 1, START + 120.seconds) shouldBe 3
+        }
+
+        // Guards against a target that is left out for good after refusals for another reason.
+        it("are tried again from the known one on, a while after all were refused") {
+            val loaded = LoadedWeights()
+            loaded.refuse(version = 1, newest = 2, START)
+            loaded.refuse(version = 2, newest = 2, START)
+            loaded.probable(registered = 1, START + 1_499.milliseconds) shouldBe null
             loaded.probable(registered = 1, START + 1_500.milliseconds) shouldBe 1
+            loaded.refuse(version = 1, newest = 2, START + 1_500.milliseconds)
+            loaded.probable(registered = 1, START + 1_500.milliseconds) shouldBe 2
         }
     }
 })
