Collect the digests that tell of loading targets

Cause: each change of the set of loading targets, and each answer to a claim, sent a digest at once to all peers of the holder, also in a fleet of 80: some sixty of them within a second, 79 datagrams each, over a link of 7 Mbit/s. Change: these digests are scheduled like the others, one for all changes within 100 ms. Result: the specs of the exchange and of forwarding pass; no spec measures the link.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -99,7 +99,7 @@
         ),
     )
     private val rolloutDriver: RolloutDriver =
-        RolloutDriver(context, ClaimRecord(self.id.text, incarnation), rollout, ports.store, ports.control) { digests.sendDigests() }
+        RolloutDriver(context, ClaimRecord(self.id.text, incarnation), rollout, ports.store, ports.control)
     private val operations = StoreFollower(
         context,
         ports.store,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -24,7 +24,6 @@
     private val rollout: WeightRollout,
     private val store: RecordStore,
     private val control: TargetControl,
-    private val sendDigests: () -> Unit,
 ) {
     private var timer: Future<*>? = null
 
@@ -50,7 +49,7 @@
         val loading = rollout.loading.toSet()
         val now = context.clock.now()
         loading.forEach { context.state.directory[it]?.loadingUntil = now + LOADING_EXCLUSION }
-        if (loading != announcedLoading) sendDigests()
+        if (loading != announcedLoading) context.scheduleDigest()
         announcedLoading = loading
     }
 
@@ -96,7 +95,7 @@
     private fun claimAnswered(answer: ClaimAnswer) {
         context.log.event("claim", "answer" to answer.toString())
         rollout.onClaimAnswer(answer, context.clock.now())
-        sendDigests()
+        context.scheduleDigest()
         advance()
     }
 
