Name what a replica knows to have changed, and what of it is complete

Cause: reading the change as a newcomer: changesSince and changedSince did not say how they differ. Change: completeChangesSince and knownChangesSince; the age of a relayed range is a named argument; endForShutdown says why an exchange ends. No behavior changes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -171,15 +171,15 @@
 
     private fun missingRanges(peer: PeerPosition): List<RelayedRange> =
         listOfNotNull(
-            missingRange(operations.replica, StoreTopic.OPERATIONS, peer.operationsNext, null),
-            missingRange(registry.replica, StoreTopic.REGISTRY, peer.registryNext, registry.age(context.clock.now())),
+            missingRange(operations.replica, StoreTopic.OPERATIONS, peer.operationsNext, age = null),
+            missingRange(registry.replica, StoreTopic.REGISTRY, peer.registryNext, age = registry.age(context.clock.now())),
         )
 
     /** The records of [topic] that a peer is missing which knows those before [from]; [age] is the time since they were read. */
     private fun missingRange(replica: TopicReplica, topic: StoreTopic, from: Long?, age: Duration?): RelayedRange? {
         val next = replica.next ?: return null
         if (from != null && from >= next) return null
-        val changes = from?.let(replica::changesSince)
+        val changes = from?.let(replica::completeChangesSince)
         val ageMillis = age?.inWholeMilliseconds ?: 0
         if (changes == null) return RelayedRange(topic, null, next, replica.all().map(::toRelayed), ageMillis)
         return RelayedRange(topic, from, next, changes.map(::toRelayed), ageMillis)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -218,7 +218,7 @@
     private fun exceedsObjective(): Boolean = context.clock.now() - arrivedAt > grant.route.latencyObjective
 
     /** Ends the request because the process exits. */
-    fun instanceStops() {
+    fun endForShutdown() {
         if (ended) return
         val outstanding = currentAttempt
         val sent = outstanding?.isWritten == true
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -247,7 +247,7 @@
 
     private fun endExchanges() {
         if (context.exchanges.isNotEmpty()) log.event("exchanges_ended", "exchanges" to context.exchanges.size)
-        context.exchanges.toList().forEach { it.instanceStops() }
+        context.exchanges.toList().forEach { it.endForShutdown() }
     }
 
     private inner class OperationsListener : TopicListener {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -113,7 +113,7 @@
         records.forEach { if (replica.apply(it) && notifyListener(it)) replica.markChanged(it.key) }
         replica.advance(next)
         // Includes what peers relayed before this read: those that receive its changes may have missed that.
-        onRead(from, replica.changedSince(from ?: 0))
+        onRead(from, replica.knownChangesSince(from ?: 0))
     }
 
     /** Passes [record] to the listener. A record that the listener fails on costs only itself: the following records still apply. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TopicReplica.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TopicReplica.kt
@@ -61,9 +61,9 @@
     fun all(): List<KeyedRecord> = entries.values.map { it.record }
 
     /** Returns the newest records of the keys that changed from [offset] on, or null if not all these changes are known. */
-    fun changesSince(offset: Long): List<KeyedRecord>? = if (offset < completeFrom) null else changedSince(offset)
+    fun completeChangesSince(offset: Long): List<KeyedRecord>? = if (offset < completeFrom) null else knownChangesSince(offset)
 
     /** Returns the newest records of the keys that are known to have changed from [offset] on. */
-    fun changedSince(offset: Long): List<KeyedRecord> =
+    fun knownChangesSince(offset: Long): List<KeyedRecord> =
         entries.values.filter { it.changedAt != null && it.changedAt >= offset }.map { it.record }
 }
