Keep a target's pause when its entry is registered again

Callers saw: nothing yet; an instance would have sent requests to a target within the pause that it had asked for, if its entry expired or was removed and came back meanwhile. Cause: the pause lay on the object that the directory replaces when an entry returns; found by reading the change as one who doubts it. Evidence: TargetDirectorySpec, 'keeps the pause that a start of a target asked for', failed before. Change: the directory keeps pauses by the start of a target, as it does what is known of leaving. Result: TargetDirectorySpec, SendAttemptSpec and TargetPauseSpec pass. RequestProgressSpec has a case for requests that were not sent because their target left; it passed as it was.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -22,6 +22,9 @@
 
     /** The start of each target that is known to leave; a later start under the same id serves again. */
     private val leavingStarts = HashMap<TargetId, Long>()
+
+    /** The pauses that targets asked for, by their starts; an entry may be removed and registered again meanwhile. */
+    private val pauses = HashMap<TargetId, Pause>()
     private val deferredRemovals = LinkedHashMap<TargetId, MonotonicTime>()
     private var poolMembers: Map<PoolName, List<Target>> = emptyMap()
 
@@ -55,6 +58,12 @@
         return true
     }
 
+    /** Records that [target] has asked this instance to send no requests until [time]. */
+    public fun pause(target: Target, time: MonotonicTime) {
+        target.pauseUntil(time)
+        target.pausedUntil?.let { pauses[target.id] = Pause(target.entry.startedAtMillis, it) }
+    }
+
     /** Records that the registry became readable again at [now] after an outage. */
     public fun registryRecovered(now: MonotonicTime) {
         deferRemovalsUntil = maxOf(deferRemovalsUntil ?: now, now + recoveryGracePeriod)
@@ -76,7 +85,7 @@
         }
         val changesPool = current?.entry?.pool != entry.pool
         if (change == DirectoryChange.ADDED || change == DirectoryChange.RESTARTED) {
-            targets[entry.id] = Target(entry).apply { if (leavingStarts[entry.id] == entry.startedAtMillis) markLeaving() }
+            targets[entry.id] = newTarget(entry)
             rebuildPoolMembers()
         } else {
             current?.update(entry)
@@ -85,6 +94,11 @@
         return change
     }
 
+    private fun newTarget(entry: TargetEntry) = Target(entry).apply {
+        if (leavingStarts[entry.id] == entry.startedAtMillis) markLeaving()
+        pauses[entry.id]?.takeIf { it.startedAtMillis == entry.startedAtMillis }?.let { pauseUntil(it.until) }
+    }
+
     private fun isStale(entry: TargetEntry, current: Target?): Boolean {
         val latest = latestEntries[entry.id] ?: return false
         return !entry.isNewerThan(latest) && (current == null || entry != latest)
@@ -124,6 +138,8 @@
         poolMembers = targets.values.groupBy { it.entry.pool }
     }
 
+    private class Pause(val startedAtMillis: Long, val until: MonotonicTime)
+
     private companion object {
         /**
          * The time in which targets register their expired entries again after an outage: about two seconds according
@@ -157,7 +173,8 @@
         private set
 
     /** The time until which the target has asked this instance to send no requests; null if it has not. */
-    private var pausedUntil: MonotonicTime? = null
+    internal var pausedUntil: MonotonicTime? = null
+        private set
 
     /** The target's id. */
     public val id: TargetId get() = entry.id
@@ -188,8 +205,7 @@
         if (loadedWeights.getOrPut(model) { LoadedWeights() }.observe(version)) loadingUntil = null
     }
 
-    /** Records that the target has asked this instance to send no requests until [time]. */
-    public fun pauseUntil(time: MonotonicTime) {
+    internal fun pauseUntil(time: MonotonicTime) {
         pausedUntil = maxOf(pausedUntil ?: time, time)
     }
 
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
@@ -56,6 +56,14 @@
             progress.excluded shouldBe setOf(TargetId("t-1"))
         }
 
+        // Guards against a request that is given up, or counted as run, because its target left before it was sent.
+        it("is sent to another target if the first stopped accepting requests before it was sent") {
+            val progress = progress(Repeatability.AT_MOST_ONCE, budget = RetryBudget(0.0, 0.0))
+            progress.recordFailure(TargetId("t-1"), SendFailure.NOT_SENT, START) shouldBe NextStep.Retry
+            progress.excluded shouldBe setOf(TargetId("t-1"))
+            progress.mayHaveRun shouldBe false
+        }
+
         it("has no silence timeout, which would lead to a second attempt") {
             progress(Repeatability.AT_MOST_ONCE).silenceTimeout shouldBe null
         }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
@@ -72,6 +72,19 @@
             directory[id]?.let { directory.accepts(it, START) } shouldBe true
         }
 
+        // Guards against a pause that is forgotten because the target's entry was removed and registered again meanwhile.
+        it("keeps the pause that a start of a target asked for, also after its entry was removed and registered again") {
+            val directory = TargetDirectory()
+            directory.upsert(entry("t-1"))
+            directory[id]?.let { directory.pause(it, START + 5.seconds) }
+            directory.remove(id, START)
+            directory.upsert(entry("t-1", reportNumber = 2))
+            directory[id]?.let { directory.accepts(it, START + 4.seconds) } shouldBe false
+            directory[id]?.let { directory.accepts(it, START + 5.seconds) } shouldBe true
+            directory.upsert(entry("t-1", startedAt = 2_000))
+            directory[id]?.let { directory.accepts(it, START + 4.seconds) } shouldBe true
+        }
+
         it("does not defer the removal of a leaving target") {
             val directory = TargetDirectory()
             directory.upsert(entry("t-1", leaving = true))
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -258,7 +258,7 @@
     private fun recordAvailability(head: TargetResponseHead) {
         if (head.isLeaving) context.leavingTargets.observed(target)
         val pause = head.retryAfter ?: return
-        target.pauseUntil(lastActivityAt + pause)
+        state.directory.pause(target, lastActivityAt + pause)
         log.event("target_paused", "target" to target.id.text, "request" to request.id.text, "millis" to pause.inWholeMilliseconds)
     }
 
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
@@ -115,7 +115,7 @@
             "is leaving" to { it.state.directory.upsert(it.entry(isLeaving = true, report = 2)) },
             "was removed" to { it.state.directory.remove(TargetId("t-1"), NOW) },
             "started again under its id" to { it.state.directory.upsert(it.entry(startedAt = 2)) },
-            "asked for a pause" to { it.target().pauseUntil(NOW + 1.seconds) },
+            "asked for a pause" to { it.state.directory.pause(it.target(), NOW + 1.seconds) },
         )
         for ((name, change) in changes) {
             // Guards against requests that are sent on the strength of what was known before the connection was made.
