Count what runs at the end of a planned stop against its workspace; test that peers hear what responses say of leaving

Callers saw: nothing; in the last moment of a stop an instance gave back the tokens of requests that may have run. Cause: ending an exchange for the stop repeated the end at the deadline without its rule on refunds; found by reading the change. Change: both ends share one function. LeavingTargetSpec checks that what one instance learns from a response reaches a fleet of 8 and of 80 by digests; that was untested, and the case fails without the line that receives it. The simulation asks what the selector asks. A comment named datagrams where packets are meant. The refund has no test of its own: the process ends with it.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -93,7 +93,7 @@
     /**
      * Returns the live instances that relay the messages of [zone] to other zones in a large fleet, in an order on
      * which all instances agree. Those with the fastest links come first: a relay sends what it receives to its whole
-     * zone, and a link that this fills loses the datagrams of callers and peers alike.
+     * zone, and a link that this fills loses the packets of callers and peers alike.
      */
     public fun zoneRelays(zone: ZoneName, now: MonotonicTime): List<FleetMember> {
         val live = live(now).filter { it.zone == zone } + listOf(self).filter { zone == self.zone }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -208,7 +208,14 @@
         val outstanding = currentAttempt
         val sent = outstanding?.isWritten == true
         val isFailure = sent && (!outstanding.hasResponse || !grant.route.isStream) && exceedsObjective()
-        outstanding?.cancel(SendFailure.SILENT.takeIf { isFailure })
+        endOutstanding(SendFailure.SILENT.takeIf { isFailure })
+    }
+
+    /** Ends the request without a response, whatever its last attempt does; [failure], if any, counts against the target. */
+    private fun endOutstanding(failure: SendFailure?) {
+        val outstanding = currentAttempt
+        val sent = outstanding?.isWritten == true
+        outstanding?.cancel(failure)
         // A request that was sent may have run, so its charge is not refunded.
         if (sent) charged = 0.0
         giveUp(progress.timedOut(sent))
@@ -219,11 +226,7 @@
 
     /** Ends the request because the process exits. */
     fun endForShutdown() {
-        if (ended) return
-        val outstanding = currentAttempt
-        val sent = outstanding?.isWritten == true
-        outstanding?.cancel(null)
-        giveUp(progress.timedOut(sent))
+        if (!ended) endOutstanding(null)
     }
 
     /** Handles the caller's disconnect: cancels the attempt at the target if the request is repeatable or streams. */
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -181,11 +181,12 @@
         val operations: StoreFollower get() = parts.operations
         val registry: TargetRegistry get() = parts.registry
         val exchange: DigestExchange get() = parts.exchange
+        val leavingTargets: LeavingTargetExchange get() = parts.context.leavingTargets
 
         /** What a restart of the instance replaces. */
         private inner class Parts {
             val state = ForwardingState(member, FleetBounds(), now)
-            private val context = ForwardingContext(
+            val context = ForwardingContext(
                 loop,
                 clock,
                 state,
@@ -218,7 +219,7 @@
         }
 
         /** Whether the instance would send requests to the target [id]. */
-        fun uses(id: String): Boolean = state.directory[TargetId(id)]?.entry?.isLeaving == false
+        fun uses(id: String): Boolean = state.directory[TargetId(id)]?.isLeaving == false
     }
 
     private fun send(from: SimulatedInstance, message: PeerMessage, peers: List<HostAndPort>): Unit = peers.mapNotNull {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/LeavingTargetSpec.kt
@@ -173,6 +173,21 @@
             }
         }
 
+        describe("in a fleet of $size instances, a target that says to one of them in a response that it leaves") {
+            // Guards against instances that go on sending requests to the target while the registry says nothing of its leaving.
+            it("is known to the others by the next digests") {
+                simulate(size) {
+                    start()
+                    val told = instances[size / 2]
+                    told.leavingTargets.observed(checkNotNull(told.state.directory[TargetId("t-1")]))
+                    told.uses("t-1") shouldBe false
+                    runTimers(KNOWLEDGE_LIMIT)
+                    usersOf("t-1").shouldBeEmpty()
+                    usersOf("t-2").size shouldBe size
+                }
+            }
+        }
+
         describe("in a fleet of $size instances, a target whose entry expires during an outage") {
             // Guards against a return of the entry that its reader does not relay, because it had put the removal off and saw no change.
             it("stays in use everywhere if it is registered again") {
