Expect a version of weights as soon as it is named

Callers saw: requests refused without a send for up to 1.5 s, if the only target for them had refused all versions that were named and another was named then. Cause: the newest named version was noted at the refusal only. Change: targets that refused a version learn of versions that are named later. TargetDirectorySpec has a case for an entry that leaves after a peer told of a later start that leaves.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/LoadedWeights.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/LoadedWeights.kt
@@ -38,6 +38,11 @@
         retryAt = now + RETRY_DELAY
     }
 
+    /** Records that [version] was named, which the target may have loaded. */
+    fun named(version: Long) {
+        newestNamed = maxOf(newestNamed, version)
+    }
+
     /**
      * Returns the version that the target probably has at [now]: the known one or, if it was refused, the one after the newest refused
      * version; null if the target has just refused all versions that it may have.
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -64,6 +64,9 @@
         target.pausedUntil?.let { pauses[target.id] = Pause(target.entry.startedAtMillis, it) }
     }
 
+    /** Records that [version] of the weights of [model] was named, which targets may load. */
+    public fun weightsNamed(model: ModelName, version: Long): Unit = targets.values.forEach { it.weightsNamed(model, version) }
+
     /** Records that the registry became readable again at [now] after an outage. */
     public fun registryRecovered(now: MonotonicTime) {
         deferRemovalsUntil = maxOf(deferRemovalsUntil ?: now, now + recoveryGracePeriod)
@@ -200,6 +203,10 @@
         loadedWeights.getOrPut(model) { LoadedWeights() }.refuse(version, newest, now)
     }
 
+    internal fun weightsNamed(model: ModelName, version: Long) {
+        loadedWeights[model]?.named(version)
+    }
+
     /** Records that the target runs [version] of [model]. */
     public fun recordWeights(model: ModelName, version: Long) {
         if (loadedWeights.getOrPut(model) { LoadedWeights() }.observe(version)) loadingUntil = null
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/LoadedWeightsSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/LoadedWeightsSpec.kt
@@ -57,6 +57,15 @@
             loaded.probable(registered = 1, START + 120.seconds) shouldBe 3
         }
 
+        // Guards against a target that is left out although a version has been named that it may have.
+        it("are assumed to be one that is named after all earlier ones were refused") {
+            val loaded = LoadedWeights()
+            loaded.refuse(version = 1, newest = 1, START)
+            loaded.probable(registered = 1, START) shouldBe null
+            loaded.named(2)
+            loaded.probable(registered = 1, START) shouldBe 2
+        }
+
         // Guards against a target that is left out for good after refusals for another reason.
         it("are tried again from the known one on, a while after all were refused") {
             val loaded = LoadedWeights()
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
@@ -85,6 +85,16 @@
             directory[id]?.let { directory.accepts(it, START + 4.seconds) } shouldBe true
         }
 
+        // Guards against a leaving entry that is overlooked, because a peer already told of a later start that leaves, too.
+        it("keeps a target that leaves out of use although a later start of it is known to leave") {
+            val directory = TargetDirectory()
+            directory.upsert(entry("t-1"))
+            directory.recordLeaving(id, startedAtMillis = 2_000)
+            directory[id]?.let { directory.accepts(it, START) } shouldBe true
+            directory.upsert(entry("t-1", reportNumber = 2, leaving = true))
+            directory[id]?.let { directory.accepts(it, START) } shouldBe false
+        }
+
         it("does not defer the removal of a leaving target") {
             val directory = TargetDirectory()
             directory.upsert(entry("t-1", leaving = true))
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -287,6 +287,7 @@
             val isAgeKnown = !isFirstRead && earliest == now
             val namedAt = if (isFirstRead) minOf(earliest, now - state.weightsLimits.assumedAge) else earliest
             val isNewest = state.desiredWeights.record(change.model, change.version, namedAt, isAgeKnown)
+            state.directory.weightsNamed(change.model, change.version)
             log.event(
                 "weights_named",
                 "model" to change.model.text,
