--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/PlannedStop.kt
@@ -28,7 +28,7 @@
         /** After this time no caller is directed to this instance; the rest of the stop is for requests that have started. */
         val ADDRESS_USE: Duration = 2_800.milliseconds
 
-        /** The time for sending the responses to the requests that are ended; the platform kills the process half a second after. */
+        /** The time for sending the responses to the requests that are ended, before the platform kills the process. */
         val FLUSH_TIME: Duration = 300.milliseconds
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -136,7 +136,7 @@
         /** The time that each instance has for its turn, to read the registry and send the records to the others. */
         val READ_STAGGER: Duration = 150.milliseconds
 
-        /** The largest number of turns that an instance waits; with it, the records of an instance are never older than 1.3 s. */
+        /** The largest number of turns that an instance waits, so that it reads at the latest 1.2 s after it was last up to date. */
         const val MAX_TURNS = 4
 
         /**
