--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -7,7 +7,7 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** The counters and histograms of a forwarding instance. */
+/** The counters and histograms of a forwarding instance. They keep no exemplars, whose sampling wakes a thread of its own. */
 internal class ForwardingMetrics {
     private val registry = PrometheusRegistry()
     private val responses = histogram("cactuspulley_answer_seconds", "Time from a request's arrival to its whole answer")
@@ -15,7 +15,7 @@
         histogram("cactuspulley_first_event_seconds", "Time from a request's arrival to the first event of its stream")
     private val pauses = histogram("cactuspulley_longest_pause_seconds", "The longest pause between two events of a stream")
     private val loopDelays = Histogram.builder().name("cactuspulley_loop_delay_seconds").help("How late the event loop's timer runs")
-        .classicUpperBounds(0.01, 0.05, 0.25, 1.0, 4.0).classicOnly().register(registry)
+        .classicUpperBounds(0.01, 0.05, 0.25, 1.0, 4.0).classicOnly().withoutExemplars().register(registry)
     private val refusals = counter("cactuspulley_refusals_total", "Requests that got no answer of a target", "cause")
     private val failedAttempts = counter("cactuspulley_failed_sends_total", "Sends that ended without a deliverable answer", "cause")
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
@@ -39,8 +39,8 @@
     fun text(): ByteArray = registry.text()
 
     private fun histogram(name: String, help: String): Histogram = Histogram.builder().name(name).help(help)
-        .labelNames("pool").classicUpperBounds(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4).classicOnly().register(registry)
+        .labelNames("pool").classicUpperBounds(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4).classicOnly().withoutExemplars().register(registry)
 
     private fun counter(name: String, help: String, vararg labels: String): Counter =
-        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+        Counter.builder().name(name).help(help).labelNames(*labels).withoutExemplars().register(registry)
 }
