Ask what costs most once, not at every tick and for every target

Cause: an idle instance of 48 spent a third of its event loop's time in the timer that runs ten times a second: sorting the ids of all live instances for a turn that was not due (28 of 239 samples of the flight recorder), and hashing every peer's name for the order of the store readers (12). Each choice of a target also scanned what each peer had reported of each target, and each digest of a bundle looked for outdated weights at all targets. Change: the turn is computed only when a read is due; the weights of the order are kept; the sum of peers' load is kept until the first report expires; the rollout is asked once for each datagram. No decision changes. Evidence: TargetLoadSpec (the kept sum equals the scanned one); FleetViewSpec, LeavingTargetSpec and DigestExchangeSpec pass unchanged.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -29,6 +29,8 @@
 /** Tracks the other instances and whether they are live and serving, by their announcements and messages. */
 public class FleetView(private val self: FleetMember, private val livenessTimeout: Duration = LIVENESS_TIMEOUT) {
     private class Peer(var member: FleetMember) {
+        /** The peer's weight in the order of the store readers, which is compared several times a second. */
+        val readerWeight = rendezvousWeight(STORE_READER_SUBJECT, member.id.text)
         var lastContactAt: MonotonicTime? = null
         var serves = false
         var reachesStore = false
@@ -36,6 +38,7 @@
     }
 
     private val peers = LinkedHashMap<InstanceId, Peer>()
+    private val ownReaderWeight = rendezvousWeight(STORE_READER_SUBJECT, self.id.text)
 
     /** The id of this instance. */
     public val selfId: InstanceId get() = self.id
@@ -96,7 +99,8 @@
      * zone, and a link that this fills loses the packets of callers and peers alike.
      */
     public fun zoneRelays(zone: ZoneName, now: MonotonicTime): List<FleetMember> {
-        val live = live(now).filter { it.zone == zone } + listOf(self).filter { zone == self.zone }
+        val livePeers = peers.values.filter { it.member.zone == zone && isLive(it, now) }.map { it.member }
+        val live = if (zone == self.zone) livePeers + self else livePeers
         val order = compareByDescending<FleetMember> { it.linkMegabits }.thenByDescending { rendezvousWeight(RELAY_SUBJECT, it.id.text) }
         return live.sortedWith(order).take(RELAYS_PER_ZONE)
     }
@@ -141,13 +145,17 @@
      * the instances that reach the store. The others learn of changes from the readers, so that the number of reads
      * does not grow with the fleet.
      */
-    public fun isStoreReader(now: MonotonicTime): Boolean = rank(STORE_READER_SUBJECT, now) < STORE_READERS
+    public fun isStoreReader(now: MonotonicTime): Boolean = readerRank(now) < STORE_READERS
 
     /** Returns whether this instance is the first store reader, whose reads reveal first that the store does not answer. */
-    public fun isFirstStoreReader(now: MonotonicTime): Boolean = rank(STORE_READER_SUBJECT, now) == 0
+    public fun isFirstStoreReader(now: MonotonicTime): Boolean = readerRank(now) == 0
 
     /** Returns whether this instance is among the [STORE_CHECKERS] that read the store themselves when a reader has lost it. */
-    public fun isStoreChecker(now: MonotonicTime): Boolean = rank(STORE_READER_SUBJECT, now) < STORE_CHECKERS
+    public fun isStoreChecker(now: MonotonicTime): Boolean = readerRank(now) < STORE_CHECKERS
+
+    /** Returns the rank of this instance in the order of the store readers, as [rank] does. */
+    private fun readerRank(now: MonotonicTime): Int =
+        peers.values.count { it.readerWeight > ownReaderWeight && it.reachesStore && isLive(it, now) }
 
     /** Returns whether [id] could reach the store according to its last message; false if there was none. */
     public fun reachesStore(id: InstanceId): Boolean = peers[id]?.reachesStore ?: false
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetLoad.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetLoad.kt
@@ -15,6 +15,12 @@
 
     private val peers = HashMap<InstanceId, PeerLoad>()
 
+    /** The sum of the units in [peers]. */
+    private var peerUnits = 0.0
+
+    /** When the first entry of [peers] expires, or an earlier time; null if there is none. */
+    private var firstExpiryAt: MonotonicTime? = null
+
     /** The load of this instance in units. */
     public var local: Double = 0.0
         private set
@@ -26,13 +32,21 @@
 
     /** Records the load of [peer], which counts until [expiresAt]. */
     public fun recordPeerLoad(peer: InstanceId, units: Double, expiresAt: MonotonicTime) {
-        peers[peer] = PeerLoad(units, expiresAt)
+        peerUnits += units - (peers.put(peer, PeerLoad(units, expiresAt))?.units ?: 0.0)
+        firstExpiryAt = firstExpiryAt?.let { minOf(it, expiresAt) } ?: expiresAt
     }
 
     /** Returns the load of all instances in units. */
     public fun total(now: MonotonicTime): Double {
-        if (peers.isNotEmpty()) peers.values.removeIf { it.expiresAt <= now }
-        return local + peers.values.sumOf { it.units }
+        val firstExpiry = firstExpiryAt
+        if (firstExpiry != null && firstExpiry <= now) removeExpired(now)
+        return local + peerUnits
+    }
+
+    private fun removeExpired(now: MonotonicTime) {
+        peers.values.removeIf { it.expiresAt <= now }
+        peerUnits = peers.values.sumOf { it.units }
+        firstExpiryAt = peers.values.minOfOrNull { it.expiresAt }
     }
 
     /** Conversion of requests to units of load. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -235,6 +235,7 @@
     fun receive(message: PeerMessage) {
         message.digest?.let { processDigest(it, context.clock.now(), isRelayed = false) }
         message.bundle?.let(::receiveBundle)
+        onUpdate()
     }
 
     private fun receiveBundle(bundle: DigestBundle) {
@@ -284,7 +285,6 @@
         digest.namedWeights.forEach {
             state.desiredWeights.recordPeerAge(ModelName(it.model), it.version, at - it.ageMillis.milliseconds)
         }
-        onUpdate()
     }
 
     /** Applies the state that [peer] had at [at]; its load, its loading targets and its unresponsive stores count [until] then. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -72,6 +72,7 @@
      */
     private fun isDue(now: MonotonicTime): Boolean {
         val lastKnownAt = knownAt ?: return replica.next != null
+        if (now - lastKnownAt < READ_PERIOD) return false
         val selfId = state.fleet.selfId
         val ids = (state.fleet.live(now).map { it.id.text } + selfId.text).sorted()
         val last = ids.indexOf(lastReader?.text)
