Pass one exception only from the decoding of peers' bytes

Callers saw: nothing; a claim to order weights whose bytes are damaged would have kept its reader from ever claiming. Cause: for some bytes the CBOR library throws an ArrayIndexOutOfBoundsException, which the readers of claims and announcements do not catch. Evidence: a property over mutated digests failed after 4 attempts with it ('ArrayIndexOutOfBoundsException: Index 5 out of bounds for length 5'). Change: one function decodes what others have written and throws a SerializationException for all of it; PeerCodecSpec mutates digests, too.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -250,7 +250,7 @@
 
     /** Decodes one digest of a bundle; returns null if that fails, because the other digests of the bundle are still of use. */
     private fun decode(bundled: BundledDigest): FleetDigest? = try {
-        peerCodec.decodeFromByteArray(FleetDigest.serializer(), bundled.encoded)
+        peerCodec.decodeUntrusted(FleetDigest.serializer(), bundled.encoded)
     } catch (failure: Exception) {
         context.log.event("digest_unreadable", "peer" to bundled.id, "reason" to failure.toString())
         null
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -4,9 +4,11 @@
  */
 package org.cactuspulley.runtime.forwarding
 
+import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborArray
@@ -79,6 +81,20 @@
 @OptIn(ExperimentalSerializationApi::class)
 internal val peerCodec: Cbor = Cbor { ignoreUnknownKeys = true }
 
+/**
+ * Decodes [bytes] that others have written.
+ *
+ * @throws SerializationException if they are no such value. The library throws other exceptions for some bytes, which callers would miss.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun <T> Cbor.decodeUntrusted(serializer: DeserializationStrategy<T>, bytes: ByteArray): T = try {
+    decodeFromByteArray(serializer, bytes)
+} catch (failure: SerializationException) {
+    throw failure
+} catch (failure: RuntimeException) {
+    throw SerializationException("unreadable bytes: $failure", failure)
+}
+
 /** The content of one datagram: either the sender's own [digest] or a [bundle] of a zone's digests. */
 @Serializable
 internal data class PeerMessage(val digest: FleetDigest? = null, val bundle: DigestBundle? = null)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -306,7 +306,7 @@
         override fun recordChanged(record: KeyedRecord): Boolean {
             val value = record.value ?: return false
             val announcement = try {
-                Cbor.decodeFromByteArray(Announcement.serializer(), value)
+                Cbor.decodeUntrusted(Announcement.serializer(), value)
             } catch (failure: SerializationException) {
                 log.event("announcement_unreadable", "key" to record.key, "reason" to failure.message)
                 return false
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -86,7 +86,7 @@
     }
 
     private fun decodeClaim(value: ByteArray): ClaimRecord? = try {
-        Cbor.decodeFromByteArray(ClaimRecord.serializer(), value)
+        Cbor.decodeUntrusted(ClaimRecord.serializer(), value)
     } catch (failure: SerializationException) {
         context.log.event("claim_unreadable", "reason" to failure.message)
         null
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/PeerCodecSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/PeerCodecSpec.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
 import io.kotest.property.arbitrary.byte
 import io.kotest.property.arbitrary.byteArray
 import io.kotest.property.arbitrary.int
@@ -16,7 +17,7 @@
     /** Decodes [bytes] and lets only the exception pass that all who decode records handle. */
     fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray) {
         try {
-            Cbor.decodeFromByteArray(serializer, bytes)
+            Cbor.decodeUntrusted(serializer, bytes)
         } catch (_: SerializationException) {
             return
         }
@@ -40,4 +41,25 @@
             }
         }
     }
+
+    describe("bytes for which the library throws another exception") {
+        // Guards against a record or datagram that ends what reads it, because its exception is not the one that is caught.
+        it("result in a serialization exception") {
+            val digest = FleetDigest(
+                "i-1", 1, 1, "zone-a", "10.0.0.1:1", "10.0.0.1:2", serves = true,
+                uses = listOf(WorkspaceUsage("a", 1.0, 1.0, 1.0)),
+                work = listOf(TargetWork("t-1", 0.5)),
+            )
+            val valid = peerCodec.encodeToByteArray(FleetDigest.serializer(), digest)
+            val config = PropTestConfig(seed = 1, iterations = 20_000)
+            checkAll(config, Arb.int(valid.indices), Arb.byteArray(Arb.int(1..6), Arb.byte())) { at, odd ->
+                val bytes = valid.copyOf(at) + odd + valid.drop(at)
+                try {
+                    peerCodec.decodeUntrusted(FleetDigest.serializer(), bytes)
+                } catch (_: SerializationException) {
+                    return@checkAll
+                }
+            }
+        }
+    }
 })
