Compress large datagrams between instances

Callers saw: in large fleets, instances with narrow links lose datagrams, callers and targets for seconds; bytes between zones cost more than the store. Cause: a bundle carries sixteen digests that repeat each other's field names and addresses, each relay of each zone sends one every 800 ms, and receivers pass it on to their whole zone. Change: messages of a kilobyte and more are compressed, with a bound on what a datagram may decompress to. Small ones are sent as before. Instances of earlier releases cannot read the large ones; while both are in a large fleet, they hear of other zones from instances of their own release only. Evidence: DatagramCodecSpec: a bundle takes less than half of its bytes (the test fails without compression); what decompresses to more than the largest message, is truncated or mutated, is rejected.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestTransport.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestTransport.kt
@@ -13,7 +13,6 @@
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
-import kotlinx.serialization.ExperimentalSerializationApi
 import org.cactuspulley.runtime.platform.HostAndPort
 import java.net.InetSocketAddress
 
@@ -27,8 +26,8 @@
  *
  * @param receive called on the event loop with each message that could be decoded.
  */
-@OptIn(ExperimentalSerializationApi::class)
 internal class DigestTransport(listen: HostAndPort, loop: EventLoop, private val receive: (PeerMessage) -> Unit) : AutoCloseable {
+    private val codec = DatagramCodec()
     private val addresses = HashMap<HostAndPort, InetSocketAddress>()
     private val channel: Channel = Bootstrap()
         .group(loop)
@@ -50,7 +49,7 @@
     }
 
     private fun transmit(message: PeerMessage, peers: List<HostAndPort>) {
-        val bytes = peerCodec.encodeToByteArray(PeerMessage.serializer(), message)
+        val bytes = codec.encode(message)
         if (bytes.size > MAX_DATAGRAM_BYTES) return transmitParts(message, bytes.size, peers)
         val content = channel.alloc().directBuffer(bytes.size).writeBytes(bytes)
         try {
@@ -92,7 +91,7 @@
         }
 
     override fun close() {
-        channel.close()
+        channel.close().addListener { codec.close() }
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -102,7 +101,7 @@
 
         /** Any host can send a datagram, so whatever it makes the decoder throw must not reach the channel. */
         private fun decode(content: ByteBuf): PeerMessage? = try {
-            peerCodec.decodeFromByteArray(PeerMessage.serializer(), ByteBufUtil.getBytes(content))
+            codec.decode(ByteBufUtil.getBytes(content))
         } catch (failure: Exception) {
             unreadable(failure)
         } catch (failure: StackOverflowError) {
