Look for callers that left before sending, after a delay of the event loop

Cause: after a delay, a request waits until all connections have been read once more, so that a caller's close is seen. The connection to the target is made after that, and its handshake can lie behind the close in a second delay: while an instance starts, each first request loads classes. Change: the same wait when the connection to the target is ready. Evidence: SendAttemptSpec, 'sends nothing if the caller has disconnected meanwhile', failed before.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -135,7 +135,14 @@
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
         target.load.add(units)
-        context.connections.acquire(target.id, address) { channel -> connected(channel, address) }
+        context.connections.acquire(target.id, address) { channel ->
+            // After a delay of the event loop, the caller may have disconnected already without that having been read.
+            if (context.loopDelay.isDelayed(context.clock.now())) {
+                context.afterNextRead { connected(channel, address) }
+            } else {
+                connected(channel, address)
+            }
+        }
     }
 
     private fun connected(connection: Channel?, address: HostAndPort) {
@@ -144,7 +151,7 @@
             close()
             return
         }
-        if (connection == null) {
+        if (connection == null || !connection.isActive) {
             close()
             return observer.failed(this, SendFailure.UNREACHABLE, "no connection")
         }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
@@ -31,6 +31,7 @@
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.platform.HostAndPort
 import org.cactuspulley.runtime.settings.FleetBounds
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -41,7 +42,7 @@
 /** Collects how attempts fail; no attempt of this spec gets as far as a response. */
 private class FailureCollector : AttemptObserver {
     val failures = mutableListOf<SendFailure>()
-    override val isEnded = false
+    override var isEnded = false
     override val hasStreamBegun = false
     override val lastEventId: Long? = null
 
@@ -65,10 +66,17 @@
     override fun closed(attempt: SendAttempt) = Unit
 }
 
+/** Requests without headers. */
+private object PlainRequests : TargetProtocol by NoTargets {
+    override fun request(send: TargetRequest) = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/file/1")
+}
+
 /** An attempt whose connection is established when a test says so. */
 private class PendingAttempt {
-    private val loop = EmbeddedChannel().eventLoop()
-    private val clock = MonotonicClock { NOW }
+    private val loopChannel = EmbeddedChannel()
+    private val loop = loopChannel.eventLoop()
+    private var now = NOW
+    private val clock = MonotonicClock { now }
     private val member = FleetMember(InstanceId("i-1"), InstanceIncarnation(1), ZoneName("zone-a"), "10.0.0.1:1", "10.0.0.1:2")
     private var onReady: ((Channel?) -> Unit)? = null
     val state = ForwardingState(member, FleetBounds(), NOW)
@@ -76,7 +84,7 @@
         loop,
         clock,
         state,
-        NoTargets,
+        PlainRequests,
         TargetConnectionPool(loop, clock) { _, onReady -> this.onReady = onReady },
         DecisionLog(ForwardingMetrics()),
         LoopDelayMonitor(100.milliseconds, NOW),
@@ -104,6 +112,19 @@
     fun entry(isLeaving: Boolean = false, startedAt: Long = 1, report: Long = 1) =
         TargetEntry(TargetId("t-1"), POOL, "10.1.0.1:8080", ZoneName("zone-a"), 8, isLeaving, startedAt, report, emptyMap())
 
+    /** Lets [duration] pass in which the event loop runs nothing, not even its timer. */
+    fun delayLoop(duration: Duration) {
+        now += duration
+    }
+
+    /** Lets the event loop run what is due, as it does after it has read its connections. */
+    fun runLoop() = repeat(2) {
+        loopChannel.runPendingTasks()
+        loopChannel.runScheduledPendingTasks()
+    }
+
+    val sentMessages: Int get() = connection.outboundMessages().size
+
     fun connected() {
         checkNotNull(onReady) { "no connection was asked for" }(connection)
     }
@@ -128,4 +149,41 @@
             }
         }
     }
+
+    describe("an attempt whose connection is established after a delay of the event loop") {
+        // Guards against requests that reach a target after their callers have left, because the close was read after the connection was.
+        it("sends nothing if the caller has disconnected meanwhile") {
+            val attempt = PendingAttempt()
+            attempt.delayLoop(400.milliseconds)
+            attempt.connected()
+            attempt.observer.isEnded = true
+            attempt.runLoop()
+            attempt.sentMessages shouldBe 0
+        }
+
+        it("sends the request if the caller is still there") {
+            val attempt = PendingAttempt()
+            attempt.delayLoop(400.milliseconds)
+            attempt.connected()
+            attempt.runLoop()
+            attempt.sentMessages shouldBe 2
+        }
+
+        it("has no connection if the target closes it before the request is sent") {
+            val attempt = PendingAttempt()
+            attempt.delayLoop(400.milliseconds)
+            attempt.connected()
+            attempt.connection.close()
+            attempt.runLoop()
+            attempt.observer.failures shouldBe listOf(SendFailure.UNREACHABLE)
+        }
+    }
+
+    describe("an attempt without a delay") {
+        it("sends the request as soon as the connection is established") {
+            val attempt = PendingAttempt()
+            attempt.connected()
+            attempt.sentMessages shouldBe 2
+        }
+    }
 })
