Read announcements of instances together

Cause: until it has heard of others, each instance follows the topic of announcements by long reads, and each announcement ends all of them. Change: reads of announcements have a pause of a second; an instance announces itself before it reads, so that of two that start together at least one learns of the other at once. Evidence: StoreFollowerSpec, 'are read together if reads have a pause': fewer than 6 calls for 95 announcements.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -108,9 +108,14 @@
         longReadWait = { LongReadWaits.operations(state.fleet.isFirstStoreReader(clock.now())) },
     ) { digests.shouldReadOperations(clock.now()) }
     private val registry: TargetRegistry = TargetRegistry(context, ports.store, ports.records) { rolloutDriver.advance() }
-    private val instances = StoreFollower(context, ports.store, StoreTopic.INSTANCES, InstancesListener(), { LongReadWaits.INSTANCES }) {
-        state.fleet.isStoreReader(clock.now())
-    }
+    private val instances = StoreFollower(
+        context,
+        ports.store,
+        StoreTopic.INSTANCES,
+        InstancesListener(),
+        longReadWait = { LongReadWaits.INSTANCES },
+        pause = LongReadWaits.INSTANCES_PAUSE,
+    ) { state.fleet.isStoreReader(clock.now()) }
     private val digests: DigestExchange =
         DigestExchange(context, self, rollout, operations, registry, { rolloutDriver.advance() }) { message, recipients ->
             peers.send(message, recipients)
@@ -131,7 +136,7 @@
         loop.execute {
             log.event("started", "zone" to settings.instance.zone, "callers" to settings.listen.callers, "incarnation" to incarnation)
             registry.read()
-            listOf(operations, instances).forEach { it.read() }
+            operations.read()
             announce()
         }
         loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
@@ -144,6 +149,10 @@
         )
     }
 
+    /**
+     * Announces this instance and then reads the announcements of others: of two instances that start together, at least one then
+     * learns of the other from the store.
+     */
     private fun announce() {
         val announcement = Announcement(self.id.text, incarnation, self.zone.text, self.callerAddress, self.peerAddress, self.linkMegabits)
         val value = Cbor.encodeToByteArray(Announcement.serializer(), announcement)
@@ -155,6 +164,7 @@
                     context.schedule(ANNOUNCE_RETRY_DELAY) { announce() }
                 },
             )
+            instances.read()
         }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -23,6 +23,8 @@
 /**
  * Maintains a replica of one topic. With [longReadWait], which says how long a read waits for records, it follows the topic by
  * long reads while [shouldFollow] holds. Without it, it reads only when [read] is called.
+ *
+ * @param pause the time after a successful read in which nothing is read, so that one read returns all records of that time.
  */
 internal class StoreFollower(
     private val context: ForwardingContext,
@@ -30,6 +32,7 @@
     private val topic: StoreTopic,
     private val listener: TopicListener,
     private val longReadWait: (() -> Duration)?,
+    private val pause: Duration = Duration.ZERO,
     private val shouldFollow: () -> Boolean,
 ) {
     /** The records of the topic that are known so far. */
@@ -85,7 +88,7 @@
     private fun complete(result: Result<RecordBatch, StoreFailure>, use: (RecordBatch) -> Unit) {
         result.fold(
             success = { batch ->
-                isReading = false
+                if (pause.isPositive()) context.schedule(pause) { continueFollowing() } else isReading = false
                 if (isFailing) {
                     context.log.event("store_answers", "topic" to topic.name)
                     isFailing = false
@@ -109,6 +112,11 @@
         )
     }
 
+    private fun continueFollowing() {
+        isReading = false
+        resume(followsAnswer = true)
+    }
+
     private fun apply(from: Long?, records: List<KeyedRecord>, next: Long) {
         records.forEach { if (replica.apply(it) && notifyListener(it)) replica.markChanged(it.key) }
         replica.advance(next)
@@ -161,6 +169,9 @@
     /** The wait for announcements of instances; they are rare, and new instances also send digests. */
     val INSTANCES: Duration = 15.seconds
 
+    /** The pause between reads of announcements: the instances of a fleet that starts announce themselves within a few seconds. */
+    val INSTANCES_PAUSE: Duration = 1.seconds
+
     private val FIRST_READER_WAIT = 700.milliseconds
 
     /**
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -3,8 +3,10 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.netty.channel.DefaultEventLoop
+import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import org.cactuspulley.core.forwarding.FleetMember
@@ -14,8 +16,10 @@
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.settings.FleetBounds
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private object UnusedTargets : TargetProtocol {
     override fun request(send: TargetRequest): HttpRequest = error("This test sends no requests")
@@ -46,6 +50,37 @@
     ) = error("This test appends no records")
 }
 
+/** A store with one topic, whose reads wait for a record. */
+private class LongReadStore : RecordStore {
+    private val records = mutableListOf<KeyedRecord>()
+    private var waiting: (() -> Unit)? = null
+    var calls = 0
+
+    fun put(key: String) {
+        records += KeyedRecord(key, records.size.toLong(), key.toByteArray())
+        waiting.also { waiting = null }?.invoke()
+    }
+
+    override fun read(topic: StoreTopic, from: Long, wait: Duration, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
+        calls++
+        val answer = { done(Ok(RecordBatch(records.filter { it.offset >= from }, records.size.toLong()))) }
+        if (wait.isPositive() && records.size.toLong() == from) waiting = answer else answer()
+    }
+
+    override fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
+        calls++
+        done(Ok(RecordBatch(records.toList(), records.size.toLong())))
+    }
+
+    override fun append(
+        topic: StoreTopic,
+        key: String,
+        value: ByteArray,
+        expectedEnd: Long?,
+        done: (Result<Long, StoreFailure>) -> Unit,
+    ) = error("This test appends no records")
+}
+
 /** Throws for the keys in [failures], and collects the other keys. */
 private class FailingListener : TopicListener {
     val failures = mapOf("odd" to IllegalArgumentException("port out of range"), "deep" to StackOverflowError())
@@ -104,4 +139,36 @@
             listener.keys shouldBe listOf("a", "b", "c")
         }
     }
+
+    describe("records that are appended one after another while their topic is followed") {
+        // Guards against a start of a large fleet in which each announcement ends the long reads of all instances.
+        it("are read together if reads have a pause") {
+            val channel = EmbeddedChannel().apply { freezeTime() }
+            val store = LongReadStore()
+            val virtualContext = ForwardingContext(
+                channel.eventLoop(),
+                clock,
+                ForwardingState(member, FleetBounds(), clock.now()),
+                UnusedTargets,
+                TargetConnectionPool(channel.eventLoop(), clock),
+                DecisionLog(ForwardingMetrics()),
+                LoopDelayMonitor(100.milliseconds, clock.now()),
+                onCrash = {},
+                sendDigests = {},
+            )
+            val listener = FailingListener()
+            val follower = StoreFollower(virtualContext, store, StoreTopic.INSTANCES, listener, { 15.seconds }, pause = 1.seconds) { true }
+            follower.read()
+            repeat(95) {
+                store.put("i-$it")
+                channel.advanceTimeBy(20, TimeUnit.MILLISECONDS)
+                channel.runScheduledPendingTasks()
+                follower.resume()
+            }
+            channel.advanceTimeBy(1_100, TimeUnit.MILLISECONDS)
+            channel.runScheduledPendingTasks()
+            listener.keys.size shouldBe 95
+            store.calls shouldBeLessThan 6
+        }
+    }
 })
