--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestTransport.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestTransport.kt
@@ -53,8 +53,10 @@
         if (bytes.size > MAX_DATAGRAM_BYTES) return transmitParts(message, bytes.size, peers)
         val content = channel.alloc().directBuffer(bytes.size).writeBytes(bytes)
         try {
-            for (peer in peers) channel.write(DatagramPacket(content.retainedDuplicate(), addressOf(peer))).addListener { future ->
-                if (!future.isSuccess) logger.debug { "Failed to send a digest to $peer: ${future.cause()?.message}" }
+            for (peer in peers) {
+                channel.write(DatagramPacket(content.retainedDuplicate(), addressOf(peer))).addListener { future ->
+                    if (!future.isSuccess) logger.debug { "Failed to send a digest to $peer: ${future.cause()?.message}" }
+                }
             }
         } finally {
             content.release()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -39,7 +39,8 @@
     fun text(): ByteArray = registry.text()
 
     private fun histogram(name: String, help: String): Histogram = Histogram.builder().name(name).help(help)
-        .labelNames("pool").classicUpperBounds(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4).classicOnly().withoutExemplars().register(registry)
+        .labelNames("pool").classicUpperBounds(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4).classicOnly().withoutExemplars()
+        .register(registry)
 
     private fun counter(name: String, help: String, vararg labels: String): Counter =
         Counter.builder().name(name).help(help).labelNames(*labels).withoutExemplars().register(registry)
