Quarantine a whole request after three crashes, as a piece of prompts

Cause: a target that crashes by itself breaks all its streams, and each break counts against its request; two of them within a minute, by the same request sent again, were a quarantine. Pieces of prompts, which have better evidence, need three. Change: three for the forwarding path; the product's own interface keeps two, which it promises.

--- a/core/src/main/kotlin/org/cactuspulley/core/quarantine/CrashTracker.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/quarantine/CrashTracker.kt
@@ -4,8 +4,12 @@
 import org.cactuspulley.core.model.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Holds the target crashes that count, by the fingerprint of the request that caused them. */
-public class CrashTracker {
+/**
+ * Holds the target crashes that count, by the fingerprint of the request that caused them.
+ *
+ * @param quarantineCount the number of crashes from which a fingerprint is quarantined.
+ */
+public class CrashTracker(private val quarantineCount: Int = DEFAULT_QUARANTINE_COUNT) {
     /** Holds for each attempt that crashed its target the time until which the crash counts. */
     private val crashes = mutableMapOf<Fingerprint, MutableMap<AttemptId, MonotonicTime>>()
 
@@ -22,8 +26,8 @@
         val activeCrashes = crashes[fingerprint]?.values?.filter { it > now }.orEmpty()
         return when {
             activeCrashes.isEmpty() -> QuarantineVerdict.Clear
-            activeCrashes.size < QUARANTINE_CRASH_COUNT -> QuarantineVerdict.Suspect
-            else -> QuarantineVerdict.Quarantined(activeCrashes.sortedDescending()[QUARANTINE_CRASH_COUNT - 1])
+            activeCrashes.size < quarantineCount -> QuarantineVerdict.Suspect
+            else -> QuarantineVerdict.Quarantined(activeCrashes.sortedDescending()[quarantineCount - 1])
         }
     }
 
@@ -39,7 +43,6 @@
     }
 
     private companion object {
-        /** The number of crashes from which a fingerprint is quarantined. */
-        const val QUARANTINE_CRASH_COUNT = 2
+        const val DEFAULT_QUARANTINE_COUNT = 2
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -38,7 +38,7 @@
     val cache = CachePlanner()
 
     /** The crashes that count against requests. */
-    val crashes = CrashTracker()
+    val crashes = CrashTracker(CRASHES_BEFORE_QUARANTINE)
 
     /** The desired versions of the models' weights. */
     val desiredWeights = DesiredWeightsTracker()
@@ -100,6 +100,15 @@
         const val REFILL_SHARE = 0.9
 
         /**
+        /** As many as for a piece of prompts: a target that crashes by itself also breaks requests that have nothing to do with it. */
+        const val CRASHES_BEFORE_QUARANTINE = 3
+
+        /** The time after its start in which an instance reads the configuration, unless the store fails. */
+        val STARTUP_TIME = 2_000.milliseconds
+
+        /** How long a request waits for the first configuration: twice the time that its read takes on a slow instance. */
+        val MAX_CONFIGURATION_WAIT = 250.milliseconds
+
          * The minimum number of instances among which a budget is divided: the size of the largest initial deployment. Larger shares
          * would add up to more than the whole budget when further instances join.
          */
