Let requests to an instance that has just started wait for its first configuration

Cause: an instance listens before it has read the configuration, and refuses what arrives in between. Change: a request waits for the first configuration for up to a quarter of a second in the first two seconds after a start; an instance that is up for longer without one refuses at once, as before.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -25,6 +25,7 @@
 import org.cactuspulley.core.model.RequestId
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Handles one caller connection: reads complete requests, processes them one at a time and writes the responses in order. */
 internal class CallerConnectionHandler(
@@ -114,7 +115,12 @@
 
     private fun startNext() {
         if (isBusy) return
-        val pending = pipelined.removeFirstOrNull() ?: return
+        val pending = pipelined.firstOrNull() ?: return
+        if (context.state.awaitsConfiguration(pending.arrivedAt, context.clock.now())) {
+            context.schedule(CONFIGURATION_POLL_INTERVAL, ::startNext)
+            return
+        }
+        pipelined.removeFirst()
         isBusy = true
         val writer = ConnectionResponseWriter(pending.head)
         val request = protocol.read(pending.head, pending.arrivedAt).getOrElse { refusal -> return writer.refuse(refusal, null) }
@@ -232,6 +238,9 @@
     private companion object {
         const val CHUNKED = "chunked"
 
+        /** How often a request that waits for the first configuration looks for it; a tenth of what it may wait. */
+        val CONFIGURATION_POLL_INTERVAL = 20.milliseconds
+
         /** The maximum number of pipelined requests that wait on one connection. */
         const val MAX_PIPELINED = 8
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -48,6 +48,13 @@
     private val tokenBuckets = HashMap<WorkspaceId, ReplicatedTokenBucket>()
     private val retryBudgets = HashMap<PoolName, RetryBudget>()
 
+    /**
+     * Returns whether a request that arrived at [arrivedAt] should wait, because this instance has just started and is about to read its
+     * first configuration.
+     */
+    fun awaitsConfiguration(arrivedAt: MonotonicTime, now: MonotonicTime): Boolean =
+        authorizer.configuration == null && now - startedAt < STARTUP_TIME && now - arrivedAt < MAX_CONFIGURATION_WAIT
+
     /** The token buckets that are in use, by workspace. */
     val allTokenBuckets: Map<WorkspaceId, ReplicatedTokenBucket> get() = tokenBuckets
 
@@ -93,13 +100,6 @@
     }
 
     private companion object {
-        /** The share of the fleet's retry budget that is used; the rest covers windows during which the traffic changes. */
-        const val BUDGET_SHARE = 0.8
-
-        /** The share of a window's units that the refill provides; the rest is the capacity, which admits several large prompts at once. */
-        const val REFILL_SHARE = 0.9
-
-        /**
         /** As many as for a piece of prompts: a target that crashes by itself also breaks requests that have nothing to do with it. */
         const val CRASHES_BEFORE_QUARANTINE = 3
 
@@ -109,6 +109,13 @@
         /** How long a request waits for the first configuration: twice the time that its read takes on a slow instance. */
         val MAX_CONFIGURATION_WAIT = 250.milliseconds
 
+        /** The share of the fleet's retry budget that is used; the rest covers windows during which the traffic changes. */
+        const val BUDGET_SHARE = 0.8
+
+        /** The share of a window's units that the refill provides; the rest is the capacity, which admits several large prompts at once. */
+        const val REFILL_SHARE = 0.9
+
+        /**
          * The minimum number of instances among which a budget is divided: the size of the largest initial deployment. Larger shares
          * would add up to more than the whole budget when further instances join.
          */
