Close the connection on a malformed request behind one that waits

Callers saw: could have seen a 400 in place of the response to an earlier request on the connection, and a target could have run that request for nobody. Cause: while a request waits before its exchange begins (for the first configuration, or for a second look after a delay of the event loop) the connection counts as free, so that the refusal of the next request was written at once, and the first was started on a connection that was being closed. Found by reading. Change: a connection with a waiting request is closed without a response, and starts nothing while it is being closed. The transport of datagrams is the last property of an instance to be set, because its messages use the others. Evidence: FirstConfigurationSpec, 'closes the connection without a response'.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -114,7 +114,7 @@
     }
 
     private fun startNext() {
-        if (isBusy) return
+        if (isBusy || isClosing) return
         val pending = pipelined.firstOrNull() ?: return
         if (context.state.awaitsConfiguration(pending.arrivedAt, context.clock.now())) {
             context.schedule(CONFIGURATION_POLL_INTERVAL, ::startNext)
@@ -134,7 +134,8 @@
     private fun refuseAndClose(refusal: ForwardingRefusal) {
         isClosing = true
         head = null
-        if (isBusy) {
+        // The caller would take the refusal for the response to an earlier request.
+        if (isBusy || pipelined.isNotEmpty()) {
             ctx.close()
             return
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DatagramCodec.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DatagramCodec.kt
@@ -8,7 +8,7 @@
 
 /**
  * Encodes peer messages as datagrams. Large messages are compressed: the digests of a bundle mostly repeat each other's field names
- * and addresses, and the links between zones are priced and narrow.
+ * and addresses, traffic between zones is expensive, and some links are narrow.
  *
  * A compressed datagram begins with [COMPRESSED], which begins no CBOR map. The codec is confined to one thread.
  */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -120,13 +120,15 @@
         DigestExchange(context, self, rollout, operations, registry, { rolloutDriver.advance() }) { message, recipients ->
             peers.send(message, recipients)
         }
-    private val peers: DigestTransport = DigestTransport(parseAddress(settings.listen.peers), loop) { message ->
-        runSafely("peer_message_failed") { digests.receive(message) }
-    }
     private val cacheStores = CacheStoreMonitor(context, ports.control)
     private val channels = mutableListOf<Channel>()
     private val stopped = CompletableFuture<Unit>()
 
+    // The last property, because messages may arrive as soon as it is set.
+    private val peers: DigestTransport = DigestTransport(parseAddress(settings.listen.peers), loop) { message ->
+        runSafely("peer_message_failed") { digests.receive(message) }
+    }
+
     /** Starts the instance; returns when the sockets are bound. */
     public fun start() {
         channels += listener.bind(parseAddress(settings.listen.callers))
