--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.netty.channel.DefaultEventLoop
+import io.netty.channel.EventLoop
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -97,17 +98,19 @@
     afterSpec { loop.shutdownGracefully() }
     val clock = MonotonicClock { MonotonicTime.ZERO }
     val member = FleetMember(InstanceId("i-1"), InstanceIncarnation(1), ZoneName("zone-a"), "10.0.0.1:1", "10.0.0.1:2")
-    val context = ForwardingContext(
-        loop,
+
+    fun contextOn(eventLoop: EventLoop) = ForwardingContext(
+        eventLoop,
         clock,
         ForwardingState(member, FleetBounds(), clock.now()),
         UnusedTargets,
-        TargetConnectionPool(loop, clock),
+        TargetConnectionPool(eventLoop, clock),
         DecisionLog(ForwardingMetrics()),
         LoopDelayMonitor(100.milliseconds, clock.now()),
         onCrash = {},
         sendDigests = {},
     )
+    val context = contextOn(loop)
 
     describe("a record that its listener fails on") {
         // Guards against a topic that an instance follows no further than the first record that it cannot use.
@@ -145,19 +148,8 @@
         it("are read together if reads have a pause") {
             val channel = EmbeddedChannel().apply { freezeTime() }
             val store = LongReadStore()
-            val virtualContext = ForwardingContext(
-                channel.eventLoop(),
-                clock,
-                ForwardingState(member, FleetBounds(), clock.now()),
-                UnusedTargets,
-                TargetConnectionPool(channel.eventLoop(), clock),
-                DecisionLog(ForwardingMetrics()),
-                LoopDelayMonitor(100.milliseconds, clock.now()),
-                onCrash = {},
-                sendDigests = {},
-            )
             val listener = FailingListener()
-            val follower = StoreFollower(virtualContext, store, StoreTopic.INSTANCES, listener, { 15.seconds }, pause = 1.seconds) { true }
+            val follower = StoreFollower(contextOn(channel.eventLoop()), store, StoreTopic.INSTANCES, listener, { 15.seconds }, pause = 1.seconds) { true }
             follower.read()
             repeat(95) {
                 store.put("i-$it")
