--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -110,9 +110,9 @@
         onCrash = {},
         sendDigests = {},
     )
-    val context = contextOn(loop)
-
     describe("a record that its listener fails on") {
+        val context = contextOn(loop)
+
         // Guards against a topic that an instance follows no further than the first record that it cannot use.
         it("does not keep the others of the same read from being applied") {
             val store = SingleTopicStore()
@@ -149,7 +149,8 @@
             val channel = EmbeddedChannel().apply { freezeTime() }
             val store = LongReadStore()
             val listener = FailingListener()
-            val follower = StoreFollower(contextOn(channel.eventLoop()), store, StoreTopic.INSTANCES, listener, { 15.seconds }, pause = 1.seconds) { true }
+            val context = contextOn(channel.eventLoop())
+            val follower = StoreFollower(context, store, StoreTopic.INSTANCES, listener, { 15.seconds }, pause = 1.seconds) { true }
             follower.read()
             repeat(95) {
                 store.put("i-$it")
