--- a/review/stand/KeptUploads.java
+++ b/review/stand/KeptUploads.java
@@ -13,7 +13,8 @@
 
 /**
  * Some clients send one large request each, one after the other and within the configured limits, and go on with small requests on the
- * same connections; a request that gets no answer is sent again later. Then ordinary traffic comes. Rule CONFIG: of the requests that are unanswered at their route's timeout, most must have an answer half a second later.
+ * same connections; a request that gets no answer is sent again later. Then ordinary traffic comes. Rule CONFIG: of the requests that are
+ * unanswered at their route's timeout, most must have an answer half a second later.
  */
 public final class KeptUploads {
     /** The site has 78 clients: 20 send a request of nearly max_body_bytes (4,194,304), 20 a smaller one and 38 only ordinary ones. */
