--- a/review/stand/KeptUploads.java
+++ b/review/stand/KeptUploads.java
@@ -12,11 +12,13 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Some clients send one large request each, one after the other and within the configured limits, and go on with small requests on the
+ * All machines but one are lost. Some clients send one large request each, one after the other and within the configured limits, and go on with small requests on the
  * same connections; a request that gets no answer is sent again later. Then ordinary traffic comes. Rule CONFIG: of the requests that are
  * unanswered at their route's timeout, most must have an answer half a second later.
  */
 public final class KeptUploads {
+    private static final int MACHINES = 7;
+
     /** The site has 78 clients: 20 send a request of nearly max_body_bytes (4,194,304), 20 a smaller one and 38 only ordinary ones. */
     private static final int LARGE_CLIENTS = 20;
     private static final int LARGE_BODY_BYTES = 4_000_000;
@@ -33,6 +35,9 @@
     /** A client fills the machine's link (1,000 Mbit/s) to two thirds. */
     private static final long PIECE_MICROS = 1_200;
     private static final int TIMEOUT_MILLIS = 600;
+
+    /** The clients wait for longer than the operator wants them kept waiting. */
+    private static final int DEADLINE_MILLIS = 1_500;
     private static final int SLACK_MILLIS = 500;
 
     /** From the end of the uploads, as long as a machine counts as slowed after clients have pressed (5 s) and then stable_window_ms. */
@@ -49,18 +54,16 @@
         + "\"tenants\":[]}";
 
     private final Fleet fleet;
-    private final Fleet.Instance instance;
-    private final boolean keepsConnections;
+    private final List<Fleet.Instance> machines;
     private final Map<String, Integer> ends = new TreeMap<>();
     private final Map<String, Integer> ordinaryEnds = new TreeMap<>();
     private volatile long judgedFrom = Long.MAX_VALUE;
     private int lateAnswers;
     private int missingAnswers;
 
-    private KeptUploads(Fleet fleet, Fleet.Instance instance, boolean keepsConnections) {
+    private KeptUploads(Fleet fleet, List<Fleet.Instance> machines) {
         this.fleet = fleet;
-        this.instance = instance;
-        this.keepsConnections = keepsConnections;
+        this.machines = machines;
     }
 
     public static void main(String[] arguments) {
@@ -72,11 +75,17 @@
         try (Fleet fleet = new Fleet(recordFile); Store store = new Store(); PlainServer server = new PlainServer(fleet, "i-1", WORK_MILLIS)) {
             store.put("keyed.op", "config", CONFIGURATION);
             store.startHeartbeats("desk", "", Map.of("i-1", server.address()));
-            // The machine has 280 MB (memory_mb), which its /proc/meminfo reports; on this machine the JVM has to be told.
-            Fleet.Instance instance = fleet.start("front-a-1", store.address(), Map.of("JAVA_TOOL_OPTIONS", "-XX:MaxRAM=280m"));
-            fleet.awaitReady(instance);
+            // Each machine has 280 MB (memory_mb), which its /proc/meminfo reports; on this machine the JVM has to be told.
+            for (int i = 1; i <= MACHINES; i++) fleet.start("front-a-" + i, store.address(), Map.of("JAVA_TOOL_OPTIONS", "-XX:MaxRAM=280m"));
+            for (Fleet.Instance instance : fleet.instances) fleet.awaitReady(instance);
             Thread.sleep(4_000);
-            KeptUploads play = new KeptUploads(fleet, instance, isTroubled);
+            List<Fleet.Instance> left = isTroubled ? fleet.instances.subList(0, 1) : fleet.instances;
+            for (Fleet.Instance lost : fleet.instances) {
+                if (!left.contains(lost)) fleet.signal(lost, "KILL");
+            }
+            Thread.sleep(3_000);
+            Fleet.Instance instance = left.get(0);
+            KeptUploads play = new KeptUploads(fleet, left);
             boolean isBroken = play.run();
             fleet.signal(instance, "TERM");
             boolean hasEnded = instance.process.waitFor(8, TimeUnit.SECONDS);
@@ -92,7 +101,7 @@
         for (int i = 1; i <= LARGE_CLIENTS + MEDIUM_CLIENTS; i++) {
             int client = i;
             Socket kept = upload(client);
-            Thread thread = new Thread(() -> sendSmall(client, kept != null || !keepsConnections ? kept : uploadAgain(client)));
+            Thread thread = new Thread(() -> sendSmall(client, kept != null ? kept : uploadAgain(client)));
             thread.setDaemon(true);
             threads.add(thread);
             thread.start();
@@ -102,7 +111,7 @@
         judgedFrom = fleet.now() + JUDGED_AFTER_MILLIS;
         for (int i = 1; i <= ORDINARY_CLIENTS; i++) {
             int client = i;
-            Thread thread = new Thread(() -> sendOrdinary(client));
+            Thread thread = new Thread(() -> sendOrdinary(LARGE_CLIENTS + MEDIUM_CLIENTS + client));
             thread.setDaemon(true);
             thread.start();
         }
@@ -122,7 +131,7 @@
         for (int number = 1; fleet.now() < judgedFrom + JUDGED_MILLIS; number++) {
             String end;
             try {
-                if (socket == null) socket = connect();
+                if (socket == null) socket = connect(client);
                 socket.setSoTimeout(6_500);
                 socket.getOutputStream().write(head("ordinary-" + client + "-" + number, "/plan/2", 6_000, body.length));
                 socket.getOutputStream().write(body);
@@ -155,7 +164,7 @@
         String end;
         Socket socket = null;
         try {
-            socket = connect();
+            socket = connect(client);
             socket.setSoTimeout(6_500);
             OutputStream output = socket.getOutputStream();
             output.write(head(id, "/plan/1", 6_000, bytes));
@@ -174,7 +183,7 @@
         synchronized (this) {
             ends.merge(end, 1, Integer::sum);
         }
-        if (keepsConnections && end.contains(" 200 ")) return socket;
+        if (end.contains(" 200 ")) return socket;
         close(socket);
         return null;
     }
@@ -201,9 +210,9 @@
             long sentAt = fleet.now();
             String end;
             try {
-                if (socket == null) socket = connect();
+                if (socket == null) socket = connect(client);
                 socket.setSoTimeout(TIMEOUT_MILLIS + SLACK_MILLIS);
-                socket.getOutputStream().write(head(id, "/stamp/1", TIMEOUT_MILLIS, 4));
+                socket.getOutputStream().write(head(id, "/stamp/1", DEADLINE_MILLIS, 4));
                 socket.getOutputStream().write("form".getBytes(StandardCharsets.US_ASCII));
                 end = answer(socket);
             } catch (SocketTimeoutException e) {
@@ -219,7 +228,7 @@
                 }
             }
             if (!end.contains(" 200 ") || took >= TIMEOUT_MILLIS) fleet.note("client's answer to %s: %s, after %d ms", id, end, took);
-            if (!end.startsWith("HTTP") || !keepsConnections) {
+            if (!end.startsWith("HTTP")) {
                 close(socket);
                 socket = null;
             }
@@ -232,8 +241,9 @@
         close(socket);
     }
 
-    private Socket connect() throws IOException {
-        Socket socket = new Socket("127.0.0.1", instance.front);
+    /** Connects [client] to its machine; clients spread evenly over those that are left. */
+    private Socket connect(int client) throws IOException {
+        Socket socket = new Socket("127.0.0.1", machines.get(client % machines.size()).front);
         socket.setTcpNoDelay(true);
         return socket;
     }
--- a/review/stand/PreemptedStreams.java
+++ b/review/stand/PreemptedStreams.java
@@ -4,19 +4,26 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A machine gets SIGTERM while it passes on resumable streams whose runs are preempted for two seconds, once each. Rule LOST: around a SIGTERM,
- * no connection may end without a complete answer while the servers are at work, and a server's silence is no reason to end one.
+ * A machine gets SIGTERM while it passes on resumable streams. The memory of their server runs out, and some of their runs are preempted.
+ * Rule LOST: around a SIGTERM, no connection may end without a complete answer while the servers are at work, and a server's silence is no
+ * reason to end one.
  */
 public final class PreemptedStreams {
-    private static final int REQUESTS = 16;
-    private static final int EVENTS = 13;
-    private static final long GAP_MILLIS = 100;
-    private static final long PAUSE_MILLIS = 2_000;
+    private static final int REQUESTS = 30;
+    private static final int EVENTS = 52;
+
+    /** The own part of each prompt, beside the shared one of 6,300 tokens. */
+    private static final int OWN_TOKENS = 60;
+
+    /** The runs of other machines: 29 of the other kind of request of the site, whose largest have 3,310 tokens in and 203 out. */
+    private static final int OTHERS = 29;
+    private static final int OTHERS_TOKENS = 203;
     private static final long DEADLINE_MILLIS = 6_000;
 
     /** The last sixth of grace_s (8 s) begins then; what is still at work later is excused. */
@@ -38,7 +45,7 @@
         boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
         int broken;
         try (Fleet fleet = new Fleet(recordFile); Store store = new Store();
-            StreamServer first = server(fleet, "i-1", isTroubled); StreamServer second = server(fleet, "i-2", isTroubled)) {
+            EngineServer first = server(fleet, "i-1", isTroubled); EngineServer second = server(fleet, "i-2", isTroubled)) {
             store.put("keyed.op", "config", CONFIGURATION);
             store.startHeartbeats("llm", "[{\"name\":\"m-1\",\"version\":1,\"adapters\":[]}]", Map.of("i-1", first.address(), "i-2", second.address()));
             Fleet.Instance stopped = fleet.start("front-a-1", store.address(), Map.of());
@@ -52,8 +59,11 @@
         return broken > 0 ? 1 : 0;
     }
 
-    private static StreamServer server(Fleet fleet, String id, boolean isTroubled) throws IOException {
-        return new StreamServer(fleet, id, EVENTS, GAP_MILLIS, 4, isTroubled ? PAUSE_MILLIS : 0);
+    private static EngineServer server(Fleet fleet, String id, boolean isTroubled) throws IOException {
+        int[] prompts = new int[isTroubled ? OTHERS : 0];
+        Arrays.fill(prompts, 3_310);
+        if (isTroubled) prompts[0] = 3_250;
+        return new EngineServer(fleet, id, prompts, OTHERS_TOKENS);
     }
 
     private static int run(Fleet fleet, Fleet.Instance instance) throws Exception {
@@ -71,7 +81,8 @@
                     socket.setSoTimeout((int) DEADLINE_MILLIS + 2_000);
                     String body = "a plan";
                     socket.getOutputStream().write(("POST /plan/1 HTTP/1.1\r\nHost: llm.example\r\nRequest-Id: " + id + "\r\nModel: m-1\r\n"
-                        + "Token-Counts: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410," + Integer.toHexString(id.hashCode()) + ":250\r\n"
+                        + "Token-Counts: " + (6_300 + OWN_TOKENS) + "," + EVENTS + "\r\nPrompt-Prefix: 5c1e07a2:2520,91bd3f06:3780,"
+                        + Integer.toHexString(id.hashCode()) + ":" + OWN_TOKENS + "\r\n"
                         + "Deadline-Ms: " + DEADLINE_MILLIS + "\r\nCredential: key-1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                         .getBytes(StandardCharsets.US_ASCII));
                     fleet.note("client sends %s", id);
@@ -97,7 +108,7 @@
                 }
                 long endedAt = fleet.now();
                 fleet.note("client's answer to %s: %s, %d of %d events, %d ms after the request", id, end, events, EVENTS, endedAt - sentAt);
-                boolean isEarly = endedAt - sentAt < DEADLINE_MILLIS && endedAt - stoppedAt[0] < EXCUSED_AFTER_MILLIS;
+                boolean isEarly = endedAt >= stoppedAt[0] && endedAt - sentAt < DEADLINE_MILLIS && endedAt - stoppedAt[0] < EXCUSED_AFTER_MILLIS;
                 if (end.equals("complete")) whole.incrementAndGet();
                 if (!end.equals("complete") && isEarly) broken.incrementAndGet();
             });
