Let a request wait as long as its work fits, and refuse at once what can't be served

What callers saw: a request for which no target was available was refused after three eighths of its route's latency objective (45 ms for one with a deadline of 600 ms), however much time the caller had left. Others waited although every target had turned them away for good, or were sent to a target when no response could come in time.

Cause: RequestProgress.queueDeadline was a fraction of the objective, which says when a response earns less, not what a caller needs.

Change: the exchange records what complete responses of each route took (ServiceTimes). A request waits until half of the recent ones would no longer be complete by its deadline (the earlier of the caller's and the route's timeout). It is refused at once, as not run, when less time is left than any recent response took, when every target has failed it, or when all targets have asked for a pause that lasts longer; in the last case the caller is told to come back after 50 ms, because the pause binds this instance only. If all targets are excluded for longer than it may wait, it tries one at once. A target that was full may be tried again, within the limits on sends. First attempts and repeats follow the same rules.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
@@ -51,13 +51,15 @@
  * Tracks the send attempts of one request of a caller and decides about retries.
  *
  * A request that runs at most once is sent again only while it can't have run in any attempt. Other requests are
- * sent again while the route's limit of attempts, the retry budget and their deadline allow it.
+ * sent again while the route's limit of attempts, the retry budget and their deadline allow it. The first attempt and
+ * later ones follow the same rules.
  */
 public class RequestProgress(
     private val grant: ForwardingGrant,
     callerDeadline: MonotonicTime?,
     arrivedAt: MonotonicTime,
     private val retryBudget: RetryBudget,
+    private val serviceTimes: ServiceTimes,
 ) {
     private val tried = LinkedHashSet<TargetId>()
     private var sentAttemptCount = 0
@@ -74,8 +76,24 @@
         }
     }
 
-    /** The time until which the request may wait for a target that can accept it. */
-    public val queueDeadline: MonotonicTime = minOf(deadline, arrivedAt + grant.route.latencyObjective * QUEUE_TIME_FRACTION)
+    /** Whether the caller has received a part of a stream, so that less work is left than a whole request takes. */
+    public var hasBegun: Boolean = false
+        private set
+
+    /** Records that the caller receives the beginning of a stream. */
+    public fun recordBeginning() {
+        hasBegun = true
+    }
+
+    /**
+     * Returns the latest time at which the request should be sent: half of the recent requests of its route would then be complete
+     * by the deadline. Until then it may wait for a target that can accept it.
+     */
+    public fun latestStart(now: MonotonicTime): MonotonicTime = if (hasBegun) deadline else deadline - serviceTimes.medianTotal(now)
+
+    /** Returns whether a target may complete the request if it is sent at [now]: a recent one of its route took no longer. */
+    public fun canComplete(now: MonotonicTime): Boolean =
+        now < deadline && (hasBegun || now + serviceTimes.shortestTotal(now) <= deadline)
 
     /** The targets that failed the request. */
     public val excluded: Set<TargetId> get() = tried
@@ -110,7 +128,8 @@
 
     /** Records that the attempt at [target] ended with [failure] and decides what to do next. */
     public fun recordFailure(target: TargetId, failure: SendFailure, now: MonotonicTime): NextStep {
-        tried += target
+        // A full target may have room again while the request still has time.
+        if (failure != SendFailure.NOT_RUN_FULL) tried += target
         when (failure) {
             SendFailure.UNREACHABLE, SendFailure.NOT_SENT, SendFailure.NOT_RUN_FULL, SendFailure.NOT_RUN_OTHER_TARGET -> Unit
             SendFailure.BROKEN, SendFailure.SILENT, SendFailure.FAILED, SendFailure.WITHDRAWN -> possibleRuns++
@@ -133,8 +152,17 @@
         }
     }
 
-    /** Ends the request because no target can accept it and it may not wait any longer. */
-    public fun noTarget(): NextStep.GiveUp = giveUp(ForwardingRefusal.NO_TARGET, ForwardingRefusal.TARGET_FAILED)
+    /**
+     * Ends the request because no target can accept it in time; [arePaused] is whether the targets have asked this instance to send
+     * nothing. Another instance may then serve the caller immediately.
+     */
+    public fun noTarget(arePaused: Boolean = false): NextStep.GiveUp {
+        val step = giveUp(ForwardingRefusal.NO_TARGET, ForwardingRefusal.TARGET_FAILED)
+        return if (step.retryAfter != null && arePaused) step.copy(retryAfter = RETRY_AFTER_ELSEWHERE) else step
+    }
+
+    /** Ends the request because it can't be completed by its deadline. */
+    public fun cannotComplete(): NextStep.GiveUp = giveUp(ForwardingRefusal.DEADLINE_PASSED, ForwardingRefusal.NO_ANSWER)
 
     /**
      * Ends the request because its deadline has passed; [isSentAttemptOutstanding] is whether the request was sent in
@@ -154,12 +182,6 @@
         if (mayHaveRun) NextStep.GiveUp(refusalIfRun, null) else NextStep.GiveUp(refusalIfNotRun, RETRY_AFTER)
 
     private companion object {
-        /**
-         * The fraction of the objective for which a request may wait for a target. Waiting without being sent is
-         * penalized from an eighth of the objective on; stopping at three eighths leaves time to serve the request.
-         */
-        const val QUEUE_TIME_FRACTION = 0.375
-
         /**
          * The fraction of the objective after which a silent attempt is given up; the remaining time suffices for a
          * retry on another target.
@@ -192,5 +214,8 @@
 
         /** The time in which a full or restarting target can accept requests again. */
         val RETRY_AFTER = 250.milliseconds
+
+        /** The time for a new connection to another instance. */
+        val RETRY_AFTER_ELSEWHERE = 50.milliseconds
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
@@ -0,0 +1,91 @@
+/*
+ * Observed service times. How long a request may wait is derived from what recent requests of the same route took.
+ */
+package org.cactuspulley.core.forwarding
+
+import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.PoolName
+import org.cactuspulley.core.model.RouteName
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The most recent observations of a duration. Old ones are discarded, because service times change with the load. */
+public class RecentDurations {
+    private class Observation(val duration: Duration, val expiresAt: MonotonicTime)
+
+    private val observations = ArrayDeque<Observation>()
+    private var sorted: List<Duration> = emptyList()
+
+    /** The number of observations that [sorted] lacks. */
+    private var unsorted = 0
+
+    /** Records that [duration] was observed at [now]. */
+    public fun record(duration: Duration, now: MonotonicTime) {
+        if (observations.size == CAPACITY) observations.removeFirst()
+        observations.addLast(Observation(duration, now + LIFETIME))
+        unsorted++
+    }
+
+    /** Returns the smallest duration that at least [fraction] of the observations do not exceed; null if there are too few at [now]. */
+    public fun quantile(fraction: Double, now: MonotonicTime): Duration? {
+        sort(now)
+        if (sorted.size < MIN_OBSERVATIONS) return null
+        return sorted[(ceil(fraction * sorted.size).toInt() - 1).coerceAtLeast(0)]
+    }
+
+    private fun sort(now: MonotonicTime) {
+        val hasExpired = observations.firstOrNull()?.let { it.expiresAt <= now } ?: false
+        val isNearlySorted = unsorted == 0 || (sorted.size == CAPACITY && unsorted < CAPACITY / SORT_INTERVAL)
+        if (!hasExpired && isNearlySorted) return
+        while (observations.firstOrNull()?.let { it.expiresAt <= now } == true) observations.removeFirst()
+        sorted = observations.map { it.duration }.sorted()
+        unsorted = 0
+    }
+
+    private companion object {
+        const val CAPACITY = 128
+
+        /** Quantiles of fewer observations say little about the next request. */
+        const val MIN_OBSERVATIONS = 10
+
+        /** Full observations are sorted again when one in this many is new. */
+        const val SORT_INTERVAL = 8
+
+        /** Loads and caches change within this time. */
+        val LIFETIME = 30.seconds
+    }
+}
+
+/** What requests of one route have recently taken at the targets of one pool, counted from their sending. */
+public class ServiceTimes {
+    private val totals = RecentDurations()
+
+    /** Records at [now] that a complete response took [duration]. */
+    public fun recordTotal(duration: Duration, now: MonotonicTime): Unit = totals.record(duration, now)
+
+    /** Returns the shortest time of a complete response; zero if it is not known. No request is known to take less. */
+    public fun shortestTotal(now: MonotonicTime): Duration = totals.quantile(0.0, now) ?: Duration.ZERO
+
+    /** Returns the median time of a complete response; zero if it is not known. */
+    public fun medianTotal(now: MonotonicTime): Duration = totals.quantile(MEDIAN, now) ?: Duration.ZERO
+
+    private companion object {
+        const val MEDIAN = 0.5
+    }
+}
+
+/** The [ServiceTimes] of all routes. */
+public class ServiceTimesRegistry {
+    private val byPool = HashMap<PoolName, HashMap<RouteName, ServiceTimes>>()
+
+    /** Returns the service times of [route] in [pool]. */
+    public fun of(pool: PoolName, route: RouteName): ServiceTimes =
+        byPool.getOrPut(pool) { HashMap() }.getOrPut(route) { ServiceTimes() }
+
+    /** Discards the service times of routes that [configuration] does not contain. */
+    public fun retain(configuration: ForwardingConfiguration) {
+        val names = configuration.routes.map { it.name }.toSet()
+        byPool.values.forEach { it.keys.retainAll(names) }
+    }
+}
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -216,6 +216,9 @@
         pausedUntil = maxOf(pausedUntil ?: time, time)
     }
 
+    /** Returns when the target accepts requests again; [now] if it is neither excluded nor paused. */
+    public fun acceptsFrom(now: MonotonicTime): MonotonicTime = maxOf(now, health.excludedUntil ?: now, pausedUntil ?: now)
+
     /** Returns whether the target has asked for no requests at [now]. */
     public fun isPaused(now: MonotonicTime): Boolean = pausedUntil?.let { now < it } ?: false
 
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -30,6 +30,18 @@
     val isLastResort: Boolean = false,
 )
 
+/** When a target may accept a request that none accepts now. */
+public sealed interface Availability {
+    /** No target is known that could, but some may register or load the weights that the request needs. */
+    public data object Unknown : Availability
+
+    /** All targets have failed the request, or could not be reached for it. */
+    public data object AllTried : Availability
+
+    /** A target may accept it at [time], when it is no longer excluded or has had the pause that it asked for. */
+    public data class From(val time: MonotonicTime) : Availability
+}
+
 /**
  * Selects the target of a request.
  *
@@ -53,13 +65,13 @@
         return byAffinity(notLoading, prompt.model, criteria, now)
     }
 
-    /**
-     * Returns whether waiting until [time] is useless, because all targets that fit [criteria] have asked for a pause that lasts
-     * longer. It is not if there are none, since targets may register.
-     */
-    public fun areAllPaused(criteria: SelectionCriteria, time: MonotonicTime): Boolean {
-        val fitting = directory.members(criteria.grant.pool).filter { isEligible(it, criteria.copy(excluded = emptySet()), time) }
-        return fitting.isNotEmpty() && fitting.all { it.isPaused(time) }
+    /** Returns whether and when a target may accept a request for which [select] finds none at [now]. */
+    public fun availability(criteria: SelectionCriteria, now: MonotonicTime): Availability {
+        val fitting = directory.members(criteria.grant.pool).filter { isEligible(it, criteria.copy(excluded = emptySet()), now) }
+        if (fitting.isEmpty()) return Availability.Unknown
+        val untried = fitting.filterNot { it.id in criteria.excluded }
+        if (untried.isEmpty()) return Availability.AllTried
+        return Availability.From(untried.minOf { it.acceptsFrom(now) })
     }
 
     private fun isEligible(target: Target, criteria: SelectionCriteria, now: MonotonicTime): Boolean {
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
@@ -19,8 +19,12 @@
         maximumAttempts: Int = 2,
         budget: RetryBudget = RetryBudget(0.2, 10.0),
         deadline: MonotonicTime? = null,
+        serviceTimes: ServiceTimes = ServiceTimes(),
     ) =
-        RequestProgress(grant(route(repeatability, maximumAttempts = maximumAttempts)), deadline, START, budget)
+        RequestProgress(grant(route(repeatability, maximumAttempts = maximumAttempts)), deadline, START, budget, serviceTimes)
+
+    /** Complete responses that took 100 to 190 ms, 140 ms at the median. */
+    fun observedTimes() = ServiceTimes().apply { repeat(10) { recordTotal(100.milliseconds + 10.milliseconds * it, START) } }
 
     val mayHaveRun = setOf(SendFailure.BROKEN, SendFailure.SILENT, SendFailure.FAILED, SendFailure.WITHDRAWN)
     val notRunRefusals = setOf(
@@ -92,6 +96,59 @@
         }
     }
 
+    describe("the time for which a request may wait for a target") {
+        // Guards against refusals of requests whose callers have ample time left.
+        it("lasts until a usual request would no longer be complete by the deadline, however soon responses should come") {
+            val progress = progress(Repeatability.AT_MOST_ONCE, deadline = START + 600.milliseconds, serviceTimes = observedTimes())
+            progress.latestStart(START) shouldBe START + 460.milliseconds
+        }
+
+        it("lasts until the deadline while no service times are known") {
+            progress(Repeatability.AT_MOST_ONCE).latestStart(START) shouldBe START + 6.seconds
+        }
+
+        it("is the same after an attempt in which the request did not run") {
+            val progress = progress(Repeatability.AT_MOST_ONCE, deadline = START + 600.milliseconds, serviceTimes = observedTimes())
+            progress.recordSent()
+            progress.recordFailure(TargetId("t-1"), SendFailure.NOT_RUN_FULL, START) shouldBe NextStep.Retry
+            progress.latestStart(START) shouldBe START + 460.milliseconds
+        }
+    }
+
+    describe("a request with little time left") {
+        it("can be complete if a recent one took no longer, and not otherwise") {
+            val progress = progress(Repeatability.AT_MOST_ONCE, deadline = START + 600.milliseconds, serviceTimes = observedTimes())
+            progress.canComplete(START + 500.milliseconds) shouldBe true
+            progress.canComplete(START + 501.milliseconds) shouldBe false
+            progress.cannotComplete().refusal shouldBe ForwardingRefusal.DEADLINE_PASSED
+        }
+
+        it("can be complete at any time before its deadline if its stream has begun, since less work is left") {
+            val progress = progress(Repeatability.RESUMABLE, deadline = START + 600.milliseconds, serviceTimes = observedTimes())
+            progress.recordBeginning()
+            progress.canComplete(START + 599.milliseconds) shouldBe true
+            progress.canComplete(START + 600.milliseconds) shouldBe false
+        }
+    }
+
+    describe("a refusal because no target can accept the request") {
+        it("sends the caller to another instance at once if the targets have asked only this one to pause") {
+            val progress = progress(Repeatability.AT_MOST_ONCE)
+            progress.noTarget(arePaused = true).retryAfter shouldBe 50.milliseconds
+            progress.noTarget().retryAfter shouldBe 250.milliseconds
+        }
+    }
+
+    describe("a full target") {
+        // Guards against requests that wait although each target has turned them away once.
+        it("may be tried again while others are not") {
+            val progress = progress(Repeatability.AT_MOST_ONCE)
+            progress.recordSent()
+            progress.recordFailure(TargetId("t-1"), SendFailure.NOT_RUN_FULL, START) shouldBe NextStep.Retry
+            progress.excluded shouldBe emptySet()
+        }
+    }
+
     describe("the deadline of a request") {
         it("is the earlier of the route's timeout and the caller's deadline") {
             progress(Repeatability.FROM_START).deadline shouldBe START + 6.seconds
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
@@ -78,6 +78,28 @@
         }
     }
 
+    describe("the availability of targets for a request") {
+        it("is unknown without a target that has the weights, since one may load them") {
+            selector(directory()).availability(criteria(7, minimum = 2), START) shouldBe Availability.Unknown
+            selector(TargetDirectory()).availability(criteria(7), START) shouldBe Availability.Unknown
+        }
+
+        it("is the end of the first exclusion or pause") {
+            val directory = directory(3)
+            directory.all.forEach { directory.pause(it, START + 9.seconds) }
+            selector(directory).availability(criteria(7), START) shouldBe Availability.From(START + 9.seconds)
+            val excluded = directory(3)
+            excluded.all.forEach { it.health.recordFailure(SendFailure.UNREACHABLE, START) }
+            excluded[TargetId("t-2")]?.health?.recordFailure(SendFailure.UNREACHABLE, START)
+            selector(excluded).availability(criteria(7), START) shouldBe Availability.From(START + 700.milliseconds)
+        }
+
+        it("is none if all have failed the request, which can't be sent to them again") {
+            val all = setOf(TargetId("t-1"), TargetId("t-2"))
+            selector(directory(2)).availability(criteria(7, excluded = all), START) shouldBe Availability.AllTried
+        }
+    }
+
     describe("the target for a request without a prompt") {
         val plain = SelectionCriteria(grant(), null, emptySet(), null, null)
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import org.cactuspulley.core.forwarding.Availability
 import org.cactuspulley.core.forwarding.ForwardedRequest
 import org.cactuspulley.core.forwarding.ForwardingGrant
 import org.cactuspulley.core.forwarding.ForwardingRefusal
@@ -12,6 +13,8 @@
 import org.cactuspulley.core.forwarding.RequestProgress
 import org.cactuspulley.core.forwarding.SelectionCriteria
 import org.cactuspulley.core.forwarding.SendFailure
+import org.cactuspulley.core.forwarding.ServiceTimes
+import org.cactuspulley.core.forwarding.Target
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.quarantine.CrashNotice
@@ -68,19 +71,19 @@
     private var charged = 0.0
     private var currentAttempt: SendAttempt? = null
     private var ended = false
-    private var streamBegun = false
 
     override var lastEventId: Long? = request.lastEventId
         private set
     override val isEnded: Boolean get() = ended
-    override val hasStreamBegun: Boolean get() = streamBegun
+    override val hasStreamBegun: Boolean get() = progress.hasBegun
     private var deadlineTimer: Future<*>? = null
     private val timing = StreamTiming(arrivedAt)
+    private val serviceTimes: ServiceTimes get() = state.serviceTimes.of(grant.pool, grant.route.name)
 
     /** Authorizes the request, charges it to the workspace's token bucket and starts the first attempt. */
     fun start() {
         grant = state.authorizer.authorize(request).getOrElse { refusal -> return refuseEarly(refusal, RETRY_AFTER_UNCONFIGURED) }
-        progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool))
+        progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool), serviceTimes)
         if (context.plannedStop?.refuses(grant.route.isStream, progress.deadline, arrivedAt) ?: false) {
             return refuseEarly(ForwardingRefusal.STOPPING, RETRY_AFTER_STOPPING)
         }
@@ -122,36 +125,45 @@
     private fun startAttempt() {
         if (ended || withdrawIfQuarantined()) return
         val now = context.clock.now()
+        if (!progress.canComplete(now)) return giveUp(progress.cannotComplete())
+        val target = selectTarget(now) ?: return
+        val address = HostAndPort.parse(target.entry.address) ?: return giveUp(progress.noTarget())
+        val attempt = SendAttempt(context, this, GrantedRequest(head, body, request, grant), progress, target)
+        currentAttempt = attempt
+        attempt.start(address)
+    }
+
+    private fun selectionCriteria(now: MonotonicTime): SelectionCriteria {
         val model = request.prompt?.model
         val minimum = model?.let { state.desiredWeights.minimum(it, state.weightsLimits.sendLimit, now) }
         val newest = model?.let { state.desiredWeights.newest(it) }
         val preferred = newest?.takeIf { now - it.namedAt > state.weightsLimits.preferenceLimit }?.version
-        val affinity = request.prompt?.let {
-            state.cache.affinity(
-                grant,
-                it,
-                if (newest ==
-                    null
-                ) {
-                    FIRST_WEIGHTS_VERSION
-                } else {
-                    preferred
-                },
-                now,
-            )
+        val affinityWeights = if (newest == null) FIRST_WEIGHTS_VERSION else preferred
+        val affinity = request.prompt?.let { state.cache.affinity(grant, it, affinityWeights, now) }
+        return SelectionCriteria(grant, request.prompt, progress.excluded, minimum, preferred, affinity)
+    }
+
+    /**
+     * Returns the target for the next attempt. If there is none now, the request waits while a target may still accept it in time,
+     * and is refused otherwise.
+     */
+    private fun selectTarget(now: MonotonicTime): Target? {
+        val criteria = selectionCriteria(now)
+        state.selector.select(criteria, now)?.let { return it }
+        val latestStart = progress.latestStart(now)
+        val availability = state.selector.availability(criteria, now)
+        val isWaiting = now < latestStart && when (availability) {
+            Availability.Unknown -> true
+            Availability.AllTried -> false
+            is Availability.From -> availability.time <= latestStart
         }
-        val criteria = SelectionCriteria(grant, request.prompt, progress.excluded, minimum, preferred, affinity)
-        val isQueueTimeOver = now >= progress.queueDeadline
-        val target = state.selector.select(criteria.copy(isLastResort = isQueueTimeOver), now)
-        if (target == null) {
-            if (isQueueTimeOver || state.selector.areAllPaused(criteria, progress.queueDeadline)) return giveUp(progress.noTarget())
+        if (isWaiting) {
             context.schedule(TARGET_POLL_INTERVAL) { startAttempt() }
-            return
+            return null
         }
-        val address = HostAndPort.parse(target.entry.address) ?: return giveUp(progress.noTarget())
-        val attempt = SendAttempt(context, this, GrantedRequest(head, body, request, grant), progress, target)
-        currentAttempt = attempt
-        attempt.start(address)
+        val lastResort = state.selector.select(criteria.copy(isLastResort = true), now)
+        if (lastResort == null) giveUp(progress.noTarget(arePaused = availability is Availability.From))
+        return lastResort
     }
 
     override fun failed(attempt: SendAttempt, failure: SendFailure, reason: String) {
@@ -161,7 +173,7 @@
         target.health.recordFailure(failure, now)
         if (ended) return
         val next = progress.recordFailure(target.id, failure, now)
-        val mayResume = !streamBegun || grant.route.repeatability == Repeatability.RESUMABLE
+        val mayResume = !hasStreamBegun || grant.route.repeatability == Repeatability.RESUMABLE
         when {
             next is NextStep.GiveUp -> giveUp(next)
             mayResume -> startAttempt()
@@ -174,7 +186,7 @@
         finish()
         log.refused(request, step.refusal, grant.configurationVersion, progress.sentAttempts, context.clock.now() - arrivedAt)
         if (!progress.mayHaveRun) refundCharge()
-        if (streamBegun) writer.abort() else writer.refuse(step.refusal, step.retryAfter)
+        if (hasStreamBegun) writer.abort() else writer.refuse(step.refusal, step.retryAfter)
     }
 
     /**
@@ -268,8 +280,8 @@
     }
 
     override fun streamBegan(response: HttpResponse) {
-        if (streamBegun) return
-        streamBegun = true
+        if (hasStreamBegun) return
+        progress.recordBeginning()
         writer.startChunked(context.targetProtocol.callerHead(response))
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -7,6 +7,7 @@
 import org.cactuspulley.core.forwarding.ForwardingConfiguration
 import org.cactuspulley.core.forwarding.ReplicatedTokenBucket
 import org.cactuspulley.core.forwarding.RequestAuthorizer
+import org.cactuspulley.core.forwarding.ServiceTimesRegistry
 import org.cactuspulley.core.forwarding.TargetDirectory
 import org.cactuspulley.core.forwarding.TargetSelector
 import org.cactuspulley.core.forwarding.TokenBucketLimit
@@ -43,6 +44,9 @@
     /** The desired versions of the models' weights. */
     val desiredWeights = DesiredWeightsTracker()
 
+    /** What recent requests of each route took. */
+    val serviceTimes = ServiceTimesRegistry()
+
     /** How long requests may use older weights than the desired ones. */
     val weightsLimits = WeightsLimits(bounds.startLimitMillis.milliseconds)
     private val tokenBuckets = HashMap<WorkspaceId, ReplicatedTokenBucket>()
@@ -82,6 +86,7 @@
     /** Applies [configuration] unless it is older than the current one; returns whether it was applied. */
     fun configure(configuration: ForwardingConfiguration, now: MonotonicTime): Boolean {
         if (!authorizer.replace(configuration)) return false
+        serviceTimes.retain(configuration)
         for ((name, bucket) in tokenBuckets) {
             configuration.workspaces[name]?.let { bucket.changeLimit(tokenBucketLimit(it), now) }
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -86,6 +86,10 @@
     private val request = granted.request
     private val grant = granted.grant
     private val model = request.prompt?.model
+    private val serviceTimes = state.serviceTimes.of(grant.pool, grant.route.name)
+
+    /** Whether the attempt continues a stream of which the caller has received a part. */
+    private val isResumption = observer.hasStreamBegun
     private var channel: Channel? = null
     private var responseHead: TargetResponseHead? = null
     private var response: HttpResponse? = null
@@ -103,6 +107,9 @@
     private var cachePlan: CachePlan? = null
     private val startedAt = context.clock.now()
 
+    /** When the request was written to a connection; the start of the attempt before that. */
+    private var sentAt = startedAt
+
     /** When the target last sent data of this attempt; the start of the attempt before that. */
     private var lastActivityAt = startedAt
 
@@ -177,6 +184,7 @@
 
     private fun write(connection: Channel) {
         val now = context.clock.now()
+        sentAt = now
         cachePlan = request.prompt?.let { prompt ->
             state.authorizer.configuration?.let { state.cache.plan(it, grant, prompt, target, now) }
         }
@@ -363,7 +371,7 @@
             reportSuspectedCrash()
             return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
         }
-        target.health.recordSuccess(context.clock.now())
+        recordCompletion()
         observer.streamEnded(this, head.status)
     }
 
@@ -381,11 +389,18 @@
             body.release()
             return observer.failed(this, failure ?: SendFailure.BROKEN, "status ${head.status}")
         }
-        target.health.recordSuccess(context.clock.now())
+        if (head.status in SUCCESS) recordCompletion() else target.health.recordSuccess(context.clock.now())
         request.prompt?.let { context.pieceQuarantine.answerBegan(it, context.clock.now()) }
         observer.responseReceived(this, httpResponse, head.status, body)
     }
 
+    /** Records a successful response. A resumed stream, of which other targets sent a part, is no observation of a whole request. */
+    private fun recordCompletion() {
+        val now = context.clock.now()
+        target.health.recordSuccess(now)
+        if (!isResumption) serviceTimes.recordTotal(now - sentAt, now)
+    }
+
     /** Handles a misdirected request: another target uses the address, or the target has other weights than were expected. */
     private fun handleMisdirected(head: TargetResponseHead) {
         val expected = cachePlan?.expectedWeights
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
@@ -16,6 +16,7 @@
 import org.cactuspulley.core.forwarding.Repeatability
 import org.cactuspulley.core.forwarding.RequestProgress
 import org.cactuspulley.core.forwarding.SendFailure
+import org.cactuspulley.core.forwarding.ServiceTimes
 import org.cactuspulley.core.forwarding.Target
 import org.cactuspulley.core.forwarding.TargetEntry
 import org.cactuspulley.core.forwarding.WeightedPool
@@ -103,7 +104,7 @@
         val grant = ForwardingGrant(route, POOL, null, cost = 1.0, configurationVersion = 1)
         val request = ForwardedRequest(RequestId("r-1"), "desk.example", "/file/1", null, null, null, null)
         val granted = GrantedRequest(DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/file/1"), ByteArray(0), request, grant)
-        val progress = RequestProgress(grant, null, NOW, RetryBudget(1.0, 1.0))
+        val progress = RequestProgress(grant, null, NOW, RetryBudget(1.0, 1.0), ServiceTimes())
         SendAttempt(context, observer, granted, progress, target()).start(ADDRESS)
     }
 
