Judge a silent target by what its responses usually take, and give an attempt up only for another

What callers saw: a request that may run again was cut short at its target after nine tenths of the route's latency objective (150 ms at least, two objectives for a stream) and refused when no other target could take it, although its response was on its way. On routes whose responses usually come later than the objective, every request was sent twice. On routes with a distant objective, callers waited for a stuck target until their deadline.

Cause: RequestProgress.silenceTimeout and probeAfter were fractions of the objective, and so was the time after which a deadline that passes counts against the target (ForwardedExchange.exceedsObjective).

Change: an attempt is unusually slow after twice the time within which 95 in 100 recent responses of its route have begun, at least after 250 ms (shorter delays of this process go unnoticed), and after a second while nothing is known. It is given up only if the limits on repeats allow another, the work still fits, and another target can take it now; a target that owes the first event of a stream is checked before that. Otherwise the attempt goes on to its deadline. A target is checked after the same time, whether or not its request may be sent again.

The former case "has no silence timeout" now asks mayRepeatAfterSilence, which decides the same.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
@@ -107,18 +107,19 @@
     /** Whether the request may run again after an attempt whose outcome is unknown. */
     private val isRepeatable: Boolean get() = grant.route.repeatability != Repeatability.AT_MOST_ONCE
 
-    /** How long an attempt may receive nothing before it is given up; null if no other target may be tried. */
-    public val silenceTimeout: Duration?
-        get() = if (!isRepeatable ||
-            possibleRuns + 1 >= grant.route.maximumAttempts
-        ) {
-            null
-        } else {
-            maxOf(MIN_SILENCE, grant.route.latencyObjective * if (grant.route.isStream) STREAM_SILENCE_FRACTION else SILENCE_FRACTION)
-        }
+    /** Returns how long an attempt may receive nothing before it is unusually slow. */
+    public fun silenceLimit(now: MonotonicTime): Duration = serviceTimes.startLimit(now)
 
-    /** How long a target may send nothing, to this request or another, before it is checked for responsiveness. */
-    public val probeAfter: Duration = maxOf(MIN_SILENCE, grant.route.latencyObjective * PROBE_FRACTION)
+    /**
+     * Returns whether the request may be sent again at [now] if the outstanding attempt is given up as silent: the limits on repeats
+     * allow it, and it can be completed in the time that is left.
+     */
+    public fun mayRepeatAfterSilence(now: MonotonicTime): Boolean = isRepeatable &&
+        possibleRuns + 1 < grant.route.maximumAttempts &&
+        sentAttemptCount < MAX_SENT_ATTEMPTS &&
+        tried.size + 1 < MAX_TARGETS &&
+        retryBudget.hasRetry &&
+        now <= latestStart(now)
 
     /** Records that an attempt has a connection and sends the request. */
     public fun recordSent() {
@@ -182,27 +183,6 @@
         if (mayHaveRun) NextStep.GiveUp(refusalIfRun, null) else NextStep.GiveUp(refusalIfNotRun, RETRY_AFTER)
 
     private companion object {
-        /**
-         * The fraction of the objective after which a silent attempt is given up; the remaining time suffices for a
-         * retry on another target.
-         */
-        const val SILENCE_FRACTION = 0.9
-
-        /**
-         * The fraction used for streams instead, whose prompts are queued behind others. A retry is late anyway and
-         * prefills the prompt once more where all targets are busy, but callers leave after four times the objective.
-         */
-        const val STREAM_SILENCE_FRACTION = 2.0
-
-        /** The fraction of the objective after which a target that sends nothing to any request may be unresponsive. */
-        const val PROBE_FRACTION = 0.75
-
-        /**
-         * The slowest tenth of a plain service's requests takes five times the mean of 21 ms; a target that takes
-         * longer than this is stuck.
-         */
-        val MIN_SILENCE = 150.milliseconds
-
         /**
          * The largest number of attempts in which a request is sent, rejected ones included; it bounds what one
          * request takes from the retry budget.
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
@@ -1,5 +1,6 @@
 /*
- * Observed service times. How long a request may wait is derived from what recent requests of the same route took.
+ * Observed service times. How long a request may wait and when a silent attempt is given up are derived from what recent
+ * requests of the same route took.
  */
 package org.cactuspulley.core.forwarding
 
@@ -8,6 +9,7 @@
 import org.cactuspulley.core.model.RouteName
 import kotlin.math.ceil
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The most recent observations of a duration. Old ones are discarded, because service times change with the load. */
@@ -59,8 +61,12 @@
 
 /** What requests of one route have recently taken at the targets of one pool, counted from their sending. */
 public class ServiceTimes {
+    private val starts = RecentDurations()
     private val totals = RecentDurations()
 
+    /** Records at [now] that the first event of a stream, or the head of another response, took [duration]. */
+    public fun recordStart(duration: Duration, now: MonotonicTime): Unit = starts.record(duration, now)
+
     /** Records at [now] that a complete response took [duration]. */
     public fun recordTotal(duration: Duration, now: MonotonicTime): Unit = totals.record(duration, now)
 
@@ -70,8 +76,23 @@
     /** Returns the median time of a complete response; zero if it is not known. */
     public fun medianTotal(now: MonotonicTime): Duration = totals.quantile(MEDIAN, now) ?: Duration.ZERO
 
+    /**
+     * Returns the time after which an attempt that has received nothing is unusually slow. Before there are enough observations, it
+     * is the initial timeout of a TCP retransmission (RFC 6298).
+     */
+    public fun startLimit(now: MonotonicTime): Duration =
+        starts.quantile(ALMOST_ALL, now)?.let { maxOf(it * SAFETY_FACTOR, UNNOTICED_DELAY) } ?: INITIAL_LIMIT
+
     private companion object {
         const val MEDIAN = 0.5
+        const val ALMOST_ALL = 0.95
+
+        /** Requests wait in queues that grow, so that the next one may take longer than almost all before. */
+        const val SAFETY_FACTOR = 2
+
+        /** Delays of the event loop up to this length go unnoticed and must not count as silence of a target. */
+        val UNNOTICED_DELAY = 250.milliseconds
+        val INITIAL_LIMIT = 1.seconds
     }
 }
 
--- a/core/src/main/kotlin/org/cactuspulley/core/requests/RetryBudget.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/requests/RetryBudget.kt
@@ -14,9 +14,12 @@
         availableRetries = minOf(burst, availableRetries + fraction)
     }
 
+    /** Whether the budget holds at least one retry. */
+    public val hasRetry: Boolean get() = availableRetries >= 1.0
+
     /** Takes one retry from the budget. Returns false if less than one is left. */
     public fun tryTake(): Boolean {
-        if (availableRetries < 1.0) return false
+        if (!hasRetry) return false
         availableRetries -= 1.0
         return true
     }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
@@ -68,8 +68,10 @@
             progress.mayHaveRun shouldBe false
         }
 
-        it("has no silence timeout, which would lead to a second attempt") {
-            progress(Repeatability.AT_MOST_ONCE).silenceTimeout shouldBe null
+        it("is not sent again after silence, which would lead to a second run") {
+            val progress = progress(Repeatability.AT_MOST_ONCE)
+            progress.recordSent()
+            progress.mayRepeatAfterSilence(START) shouldBe false
         }
     }
 
@@ -96,6 +98,37 @@
         }
     }
 
+    describe("a silent attempt") {
+        it("is unusually slow after twice the time within which almost all responses have begun") {
+            val times = ServiceTimes().apply { (1..20).forEach { recordStart(50.milliseconds * it, START) } }
+            progress(Repeatability.FROM_START, serviceTimes = times).silenceLimit(START) shouldBe 1_900.milliseconds
+        }
+
+        it("is not unusually slow before a delay of this process would be noticed") {
+            val times = ServiceTimes().apply { repeat(20) { recordStart(20.milliseconds, START) } }
+            progress(Repeatability.FROM_START, serviceTimes = times).silenceLimit(START) shouldBe 250.milliseconds
+        }
+
+        it("is unusually slow after a second while no service times are known") {
+            progress(Repeatability.FROM_START).silenceLimit(START) shouldBe 1.seconds
+        }
+
+        // Guards against attempts that are given up although no other target can complete the request, so that the caller gets nothing.
+        it("is given up for another one only while that can complete the request and the limits on repeats allow it") {
+            val deadline = START + 600.milliseconds
+            val progress = progress(Repeatability.FROM_START, deadline = deadline, serviceTimes = observedTimes())
+            progress.recordSent()
+            progress.mayRepeatAfterSilence(START + 460.milliseconds) shouldBe true
+            progress.mayRepeatAfterSilence(START + 461.milliseconds) shouldBe false
+            progress.recordFailure(TargetId("t-1"), SendFailure.SILENT, START)
+            progress.recordSent()
+            progress.mayRepeatAfterSilence(START) shouldBe false
+            val exhausted = progress(Repeatability.FROM_START, budget = RetryBudget(0.0, 0.5))
+            exhausted.recordSent()
+            exhausted.mayRepeatAfterSilence(START) shouldBe false
+        }
+    }
+
     describe("the time for which a request may wait for a target") {
         // Guards against refusals of requests whose callers have ample time left.
         it("lasts until a usual request would no longer be complete by the deadline, however soon responses should come") {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -166,6 +166,13 @@
         return lastResort
     }
 
+    override fun canBeSentElsewhere(attempt: SendAttempt): Boolean {
+        val now = context.clock.now()
+        if (ended || !progress.mayRepeatAfterSilence(now)) return false
+        val criteria = selectionCriteria(now)
+        return state.selector.select(criteria.copy(excluded = criteria.excluded + attempt.target.id), now) != null
+    }
+
     override fun failed(attempt: SendAttempt, failure: SendFailure, reason: String) {
         val now = context.clock.now()
         val target = attempt.target
@@ -219,7 +226,7 @@
         if (ended) return
         val outstanding = currentAttempt
         val sent = outstanding?.isWritten == true
-        val isFailure = sent && (!outstanding.hasResponse || !grant.route.isStream) && exceedsObjective()
+        val isFailure = sent && (!outstanding.hasResponse || !grant.route.isStream) && outstanding.isUnusuallySlow
         endOutstanding(SendFailure.SILENT.takeIf { isFailure })
     }
 
@@ -233,9 +240,6 @@
         giveUp(progress.timedOut(sent))
     }
 
-    /** Whether the request has taken longer than the latency objective of its route. */
-    private fun exceedsObjective(): Boolean = context.clock.now() - arrivedAt > grant.route.latencyObjective
-
     /** Ends the request because the process exits. */
     fun endForShutdown() {
         if (!ended) endOutstanding(null)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -63,6 +63,9 @@
     /** Called when the target broke the connection while it may have been running the request. */
     fun targetCrashed(attempt: SendAttempt)
 
+    /** Whether another target can take the request over if [attempt], which may have run, is given up. */
+    fun canBeSentElsewhere(attempt: SendAttempt): Boolean
+
     /** Called when the attempt ended without a response that can be passed on. */
     fun failed(attempt: SendAttempt, failure: SendFailure, reason: String)
 
@@ -97,11 +100,13 @@
     private var events: EventStreamSplitter? = null
     private val memory = context.responseMemory.Share()
     private var silenceTimer: Future<*>? = null
-    private var responsivenessTimer: Future<*>? = null
     private var isClosed = false
 
     /** Whether the health of the target counts this attempt as silent. */
     private var isSilent = false
+
+    /** Whether the silence of the target has made this attempt check whether the target is responsive. */
+    private var hasChecked = false
     private var bodyWritten = false
     private var hasContent = false
     private var cachePlan: CachePlan? = null
@@ -110,7 +115,7 @@
     /** When the request was written to a connection; the start of the attempt before that. */
     private var sentAt = startedAt
 
-    /** When the target last sent data of this attempt; the start of the attempt before that. */
+    /** When the target last sent data of this attempt; [sentAt] before that. */
     private var lastActivityAt = startedAt
 
     /** The load that this attempt adds to its target, in the units of [TargetLoad]. */
@@ -171,8 +176,7 @@
         connection.pipeline().get(TargetResponseHandler::class.java).listener = this
         progress.recordSent()
         write(connection)
-        progress.silenceTimeout?.let { scheduleSilenceCheck(it) }
-        responsivenessTimer = context.schedule(progress.probeAfter) { checkIfUnresponsive(address) }
+        scheduleSilenceCheck(address)
     }
 
     private fun releaseUnused(connection: Channel) {
@@ -185,6 +189,7 @@
     private fun write(connection: Channel) {
         val now = context.clock.now()
         sentAt = now
+        lastActivityAt = now
         cachePlan = request.prompt?.let { prompt ->
             state.authorizer.configuration?.let { state.cache.plan(it, grant, prompt, target, now) }
         }
@@ -204,10 +209,42 @@
             .addListener { if (it.isSuccess) bodyWritten = true }
     }
 
+    /** The time after which the attempt, or the pause of its stream, is unusually long. */
+    private fun silenceLimit(now: MonotonicTime): Duration = if (events == null) progress.silenceLimit(now) else STREAM_STALL_TIMEOUT
+
+    /** Whether the attempt has received nothing for unusually long. */
+    val isUnusuallySlow: Boolean
+        get() = context.clock.now().let { now -> now - lastActivityAt >= silenceLimit(now) }
+
+    private fun scheduleSilenceCheck(address: HostAndPort, delay: Duration = silenceLimit(context.clock.now())) {
+        silenceTimer = context.schedule(delay) { checkSilence(address) }
+    }
+
+    /**
+     * Handles a target that has been silent for unusually long. If another one can take the request over, this attempt fails, but a
+     * target that has sent nothing of a stream is checked first, since another one has to read the prompt again. Otherwise the
+     * attempt goes on, because its response may still arrive.
+     */
+    private fun checkSilence(address: HostAndPort) {
+        if (isClosed) return
+        val now = context.clock.now()
+        val limit = silenceLimit(now)
+        val silentFor = now - maxOf(lastActivityAt, activityForOthers() ?: lastActivityAt)
+        if (silentFor < limit) return scheduleSilenceCheck(address, limit - silentFor + TIMER_MARGIN)
+        if (events != null) return if (grant.route.repeatability == Repeatability.RESUMABLE) failSilent("no sign for $silentFor") else Unit
+        val isStreamAwaited = grant.route.isStream
+        if ((hasChecked || !isStreamAwaited) && observer.canBeSentElsewhere(this)) return failSilent("no sign for $silentFor")
+        if (!hasChecked) {
+            hasChecked = true
+            checkIfUnresponsive(address)
+        }
+        if (!isClosed) scheduleSilenceCheck(address, limit)
+    }
+
     /** Checks a target that has sent nothing since this attempt started, and excludes an unresponsive one. */
     private fun checkIfUnresponsive(address: HostAndPort) {
         val lastActivity = target.lastReceivedAt
-        if (isClosed || (lastActivity != null && lastActivity > startedAt)) return
+        if (lastActivity != null && lastActivity > startedAt) return
         isSilent = true
         when (target.health.recordSilentAttempt(context.clock.now())) {
             SilenceAction.EXCLUDE -> excludeUnresponsive("silent to several")
@@ -229,17 +266,7 @@
         context.connections.drop(target.id)
         log.event("target_suspected", "target" to target.id.text, "request" to request.id.text, "reason" to reason)
         context.scheduleDigest()
-        if (!isClosed && !hasResponse && progress.silenceTimeout != null) failSilent("target unresponsive: $reason")
-    }
-
-    private fun scheduleSilenceCheck(timeout: Duration, delay: Duration = timeout) {
-        silenceTimer = context.schedule(delay) {
-            if (isClosed) return@schedule
-            val now = context.clock.now()
-            val silentFor = now - maxOf(lastActivityAt, activityForOthers() ?: lastActivityAt)
-            if (silentFor < timeout) return@schedule scheduleSilenceCheck(timeout, timeout - silentFor + TIMER_MARGIN)
-            failSilent("no sign for $silentFor")
-        }
+        if (!isClosed && !hasResponse && observer.canBeSentElsewhere(this)) failSilent("target unresponsive: $reason")
     }
 
     private fun failSilent(reason: String) {
@@ -263,6 +290,7 @@
         responseHead = head
         this.response = response
         recordActivity()
+        if (!grant.route.isStream && head.status in SUCCESS) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
         if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
@@ -290,8 +318,6 @@
 
     private fun beginStream(response: HttpResponse) {
         events = EventStreamSplitter(context.allocator)
-        silenceTimer?.cancel(false)
-        if (grant.route.repeatability == Repeatability.RESUMABLE) scheduleSilenceCheck(STREAM_STALL_TIMEOUT)
         observer.streamBegan(response)
     }
 
@@ -312,6 +338,7 @@
         }
         if (completeEvents == null) return
         if (!hasEvents) request.prompt?.let { context.pieceQuarantine.answerBegan(it, lastActivityAt) }
+        if (!hasEvents) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
         hasEvents = true
         markRunning()
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
@@ -456,7 +483,6 @@
         endSilence()
         target.load.add(-units)
         silenceTimer?.cancel(false)
-        responsivenessTimer?.cancel(false)
         memory.resize(0)
         observer.closed(this)
         events?.release()
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
@@ -60,6 +60,8 @@
 
     override fun targetCrashed(attempt: SendAttempt) = error("no target can crash")
 
+    override fun canBeSentElsewhere(attempt: SendAttempt) = false
+
     override fun failed(attempt: SendAttempt, failure: SendFailure, reason: String) {
         failures += failure
     }
