Leave a paused stream at a target that is alive

Cause: SendAttempt.STREAM_STALL_TIMEOUT, set between what callers count as late and when they leave, cancelled the run before it was known whether the request may be sent again.

Change: a stream that has begun goes on elsewhere only if its target has sent nothing to any request of this instance for unusually long (twice the pause that 95 in 100 recent streams stayed within, at least as long as an unusually slow start, since a preempted prompt is read again) and another target can take it now, within the limits on repeats. Time in which this instance reads nothing does not count. Connections of resumable streams have keep-alive probes, which end one that has failed silently while its target serves others.

The keep-alive probes are not shown by a test: on loopback, the kernel answers them.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
@@ -110,6 +110,9 @@
     /** Returns how long an attempt may receive nothing before it is unusually slow. */
     public fun silenceLimit(now: MonotonicTime): Duration = serviceTimes.startLimit(now)
 
+    /** Returns how long a stream that has begun may pause before it is unusually slow. */
+    public fun pauseLimit(now: MonotonicTime): Duration = serviceTimes.pauseLimit(now)
+
     /**
      * Returns whether the request may be sent again at [now] if the outstanding attempt is given up as silent: the limits on repeats
      * allow it, and it can be completed in the time that is left.
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
@@ -63,6 +63,7 @@
 public class ServiceTimes {
     private val starts = RecentDurations()
     private val totals = RecentDurations()
+    private val pauses = RecentDurations()
 
     /** Records at [now] that the first event of a stream, or the head of another response, took [duration]. */
     public fun recordStart(duration: Duration, now: MonotonicTime): Unit = starts.record(duration, now)
@@ -70,6 +71,9 @@
     /** Records at [now] that a complete response took [duration]. */
     public fun recordTotal(duration: Duration, now: MonotonicTime): Unit = totals.record(duration, now)
 
+    /** Records at [now] that [duration] was the longest time between two consecutive events of a complete stream. */
+    public fun recordLongestPause(duration: Duration, now: MonotonicTime): Unit = pauses.record(duration, now)
+
     /** Returns the shortest time of a complete response; zero if it is not known. No request is known to take less. */
     public fun shortestTotal(now: MonotonicTime): Duration = totals.quantile(0.0, now) ?: Duration.ZERO
 
@@ -83,6 +87,13 @@
     public fun startLimit(now: MonotonicTime): Duration =
         starts.quantile(ALMOST_ALL, now)?.let { maxOf(it * SAFETY_FACTOR, UNNOTICED_DELAY) } ?: INITIAL_LIMIT
 
+    /**
+     * Returns the pause after which a stream that has begun is unusually slow. It is no less than for a start, because a target reads
+     * the prompt of a run that it has preempted again before the run goes on.
+     */
+    public fun pauseLimit(now: MonotonicTime): Duration =
+        maxOf(startLimit(now), (pauses.quantile(ALMOST_ALL, now) ?: INITIAL_LIMIT) * SAFETY_FACTOR)
+
     private companion object {
         const val MEDIAN = 0.5
         const val ALMOST_ALL = 0.95
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -118,6 +118,13 @@
     /** When the target last sent data of this attempt; [sentAt] before that. */
     private var lastActivityAt = startedAt
 
+    /** Whether reading is paused, because the caller reads slowly. */
+    private var isReadingPaused = false
+
+    /** The longest time between two arrivals of events. */
+    private var longestPause = Duration.ZERO
+    private var lastEventsAt: MonotonicTime? = null
+
     /** The load that this attempt adds to its target, in the units of [TargetLoad]. */
     var units = TargetLoad.unitsUntilFirstEvent(
         request.prompt,
@@ -190,6 +197,9 @@
         val now = context.clock.now()
         sentAt = now
         lastActivityAt = now
+        // A connection that has failed silently ends with the probes. Others may outlast an interruption of the network, so that a
+        // request that can't be sent again still gets its response.
+        connection.config().setOption(ChannelOption.SO_KEEPALIVE, grant.route.repeatability == Repeatability.RESUMABLE)
         cachePlan = request.prompt?.let { prompt ->
             state.authorizer.configuration?.let { state.cache.plan(it, grant, prompt, target, now) }
         }
@@ -210,7 +220,7 @@
     }
 
     /** The time after which the attempt, or the pause of its stream, is unusually long. */
-    private fun silenceLimit(now: MonotonicTime): Duration = if (events == null) progress.silenceLimit(now) else STREAM_STALL_TIMEOUT
+    private fun silenceLimit(now: MonotonicTime): Duration = if (events == null) progress.silenceLimit(now) else progress.pauseLimit(now)
 
     /** Whether the attempt has received nothing for unusually long. */
     val isUnusuallySlow: Boolean
@@ -229,10 +239,10 @@
         if (isClosed) return
         val now = context.clock.now()
         val limit = silenceLimit(now)
+        if (isReadingPaused) return scheduleSilenceCheck(address, limit)
         val silentFor = now - maxOf(lastActivityAt, activityForOthers() ?: lastActivityAt)
         if (silentFor < limit) return scheduleSilenceCheck(address, limit - silentFor + TIMER_MARGIN)
-        if (events != null) return if (grant.route.repeatability == Repeatability.RESUMABLE) failSilent("no sign for $silentFor") else Unit
-        val isStreamAwaited = grant.route.isStream
+        val isStreamAwaited = grant.route.isStream && events == null
         if ((hasChecked || !isStreamAwaited) && observer.canBeSentElsewhere(this)) return failSilent("no sign for $silentFor")
         if (!hasChecked) {
             hasChecked = true
@@ -274,11 +284,11 @@
         observer.failed(this, SendFailure.SILENT, reason)
     }
 
-    /** On a stream route, a target that responds to other requests is slow rather than unresponsive, because its queue advances. */
-    private fun activityForOthers(): MonotonicTime? = target.lastReceivedAt?.takeIf {
-        grant.route.isStream && events == null &&
-            it > startedAt
-    }
+    /**
+     * When the target last sent anything to this instance since this attempt started. On a stream route, such a target is slow rather
+     * than unresponsive: its queue advances, or it has preempted the run, which goes on when memory is free.
+     */
+    private fun activityForOthers(): MonotonicTime? = target.lastReceivedAt?.takeIf { grant.route.isStream && it > startedAt }
 
     override fun onHead(response: HttpResponse): ResponseOwner {
         val head = context.targetProtocol.responseHead(response)
@@ -339,6 +349,8 @@
         if (completeEvents == null) return
         if (!hasEvents) request.prompt?.let { context.pieceQuarantine.answerBegan(it, lastActivityAt) }
         if (!hasEvents) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
+        lastEventsAt?.let { longestPause = maxOf(longestPause, lastActivityAt - it) }
+        lastEventsAt = lastActivityAt
         hasEvents = true
         markRunning()
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
@@ -399,6 +411,7 @@
             return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
         }
         recordCompletion()
+        serviceTimes.recordLongestPause(longestPause, context.clock.now())
         observer.streamEnded(this, head.status)
     }
 
@@ -458,8 +471,10 @@
         if (mayHaveCrashed) context.pieceQuarantine.connectionBroke(target, address, prompt, context.clock.now())
     }
 
-    /** Pauses or resumes reading from the target. */
+    /** Pauses or resumes reading from the target; a pause of reading is no silence of the target. */
     fun pause(paused: Boolean) {
+        if (isReadingPaused && !paused) lastActivityAt = context.clock.now()
+        isReadingPaused = paused
         channel?.config()?.isAutoRead = !paused
     }
 
@@ -496,9 +511,6 @@
         val STREAM_SUCCESS = SUCCESS.toSet() - setOf(204, 205)
         const val SERVER_ERROR = 500
 
-        /** A resumable stream that stalls for longer resumes at another target; callers consider 500 ms late and disconnect after 4 s. */
-        val STREAM_STALL_TIMEOUT = 1_200.milliseconds
-
         /** Added to the delay of a rescheduled silence check, so that the timeout has passed when it runs. */
         val TIMER_MARGIN = 2.milliseconds
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
@@ -6,8 +6,10 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
+import jdk.net.ExtendedSocketOptions
 import org.cactuspulley.runtime.platform.ExpectedResponseDecoder
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,6 +22,9 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
             // Distinguishes the target's own end of a connection, which completes a response without a length, from any other end.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(Initializer)
@@ -40,5 +45,11 @@
     private companion object {
         /** A hundred times the highest latency between zones; a target that does not accept within it is unresponsive. */
         val CONNECT_TIMEOUT = 300.milliseconds
+
+        /** The time in seconds without data before the first keep-alive probe, and between probes: the shortest that TCP permits. */
+        const val KEEPALIVE_SECONDS = 1
+
+        /** The number of unanswered keep-alive probes after which a connection has failed; one may be lost. */
+        const val KEEPALIVE_PROBES = 2
     }
 }
