Prefer named weights as soon as a target has them, and time sends to old ones by observed starts

What callers saw: for 1.2 s after newer weights were named, requests were sent to targets with the replaced ones although others had loaded the named ones and had room. From 6.5 s on, they were never sent to older weights, also where every request began within milliseconds, and where requests waited for longer than 1.5 s, they were sent in vain and withdrawn.

Change: a request prefers the newest weights as soon as a target of its pool has loaded them; while those targets have no room, it goes to others, as before. It is sent to older weights until the promised limit for starts less the time within which nearly all requests of its route begin (observed). The withdrawal before the limit stays: it keeps the promise whatever was observed.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -2,6 +2,7 @@
 
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.core.model.rendezvousRank
@@ -65,6 +66,16 @@
         return byAffinity(notLoading, prompt.model, criteria, now)
     }
 
+    /**
+     * Returns the version that requests to [pool] should prefer at [now]: [newest] as soon as a target there has loaded it, because
+     * those who named it want responses from it; null before that.
+     */
+    public fun preferredWeights(pool: PoolName, newest: DesiredWeights?, now: MonotonicTime): Long? = newest?.version?.takeIf { version ->
+        directory.members(pool).any { target ->
+            !target.isLeaving && !isLoading(target, now) && target.probableWeights(newest.model, now)?.let { it >= version } ?: false
+        }
+    }
+
     /** Returns whether and when a target may accept a request for which [select] finds none at [now]. */
     public fun availability(criteria: SelectionCriteria, now: MonotonicTime): Availability {
         val fitting = directory.members(criteria.grant.pool).filter { isEligible(it, criteria.copy(excluded = emptySet()), now) }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightsLimits.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightsLimits.kt
@@ -8,20 +8,22 @@
  * How long requests may use older weights, counted from the naming of newer ones.
  *
  * A request is sent some time before it begins, because it waits at its target. The limit for starts is therefore enforced twice:
- * a request is no longer sent to older weights after [sendLimit], and one that still waits at [withdrawalLimit] is withdrawn.
+ * a request is no longer sent to older weights after [sendLimit], and one that still waits at [withdrawalLimit] is withdrawn. Newer
+ * weights are preferred as soon as a target has them; see [TargetSelector.preferredWeights].
  *
  * @property startLimit the time after which no request may begin on older weights.
  */
 public data class WeightsLimits(val startLimit: Duration = 8_000.milliseconds) {
-    /** The time after which requests are no longer sent to targets with older weights. */
-    public val sendLimit: Duration get() = (startLimit - SEND_MARGIN).coerceAtLeast(Duration.ZERO)
+    /**
+     * Returns the time after which requests are no longer sent to targets with older weights, if nearly all begin within [usualStart]
+     * of their sending.
+     */
+    public fun sendLimit(usualStart: Duration): Duration =
+        (startLimit - maxOf(usualStart, WITHDRAWAL_MARGIN)).coerceAtLeast(Duration.ZERO)
 
     /** The time after which requests that wait at targets with older weights are withdrawn. */
     public val withdrawalLimit: Duration get() = (startLimit - WITHDRAWAL_MARGIN).coerceAtLeast(Duration.ZERO)
 
-    /** The time after which requests avoid targets with older weights while others have capacity. */
-    public val preferenceLimit: Duration get() = minOf(PREFERENCE_LIMIT, sendLimit)
-
     /**
      * The age that is assumed for a version which an instance found named when it started. An instance is held to [startLimit] only
      * some seconds after its start.
@@ -38,13 +40,7 @@
         /** The time after its start for which an instance counts as disturbed. */
         val START_UP_PERIOD = 3_000.milliseconds
 
-        /** The usual longest wait at a target; a request that waits longer is withdrawn. */
-        val SEND_MARGIN = 1_500.milliseconds
-
         /** The time that the withdrawal may take: the interval of the check, a delay of the event loop and the way to the target. */
         val WITHDRAWAL_MARGIN = 500.milliseconds
-
-        /** Starts on older weights are penalized after 1.5 s; a request that is sent by this time usually begins before that. */
-        val PREFERENCE_LIMIT = 1_200.milliseconds
     }
 }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
@@ -53,6 +53,17 @@
             selector(directory).select(criteria(7, preferred = 2), START)?.id shouldBe TargetId("t-1")
         }
 
+        it("should have the newest weights as soon as a target has them, and not before") {
+            val directory = directory(2)
+            val newest = DesiredWeights(MODEL, 2, START)
+            selector(directory).preferredWeights(POOL, newest, START) shouldBe null
+            selector(directory).preferredWeights(POOL, null, START) shouldBe null
+            directory.upsert(entry("t-2", weights = 2, reportNumber = 2))
+            selector(directory).preferredWeights(POOL, newest, START) shouldBe 2
+            directory[TargetId("t-2")]?.loadingUntil = START + 1.seconds
+            selector(directory).preferredWeights(POOL, newest, START) shouldBe null
+        }
+
         it("never has weights below the minimum") {
             selector(directory()).select(criteria(7, minimum = 2), START) shouldBe null
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -135,9 +135,9 @@
 
     private fun selectionCriteria(now: MonotonicTime): SelectionCriteria {
         val model = request.prompt?.model
-        val minimum = model?.let { state.desiredWeights.minimum(it, state.weightsLimits.sendLimit, now) }
+        val minimum = model?.let { state.desiredWeights.minimum(it, state.weightsLimits.sendLimit(progress.silenceLimit(now)), now) }
         val newest = model?.let { state.desiredWeights.newest(it) }
-        val preferred = newest?.takeIf { now - it.namedAt > state.weightsLimits.preferenceLimit }?.version
+        val preferred = state.selector.preferredWeights(grant.pool, newest, now)
         val affinityWeights = if (newest == null) FIRST_WEIGHTS_VERSION else preferred
         val affinity = request.prompt?.let { state.cache.affinity(grant, it, affinityWeights, now) }
         return SelectionCriteria(grant, request.prompt, progress.excluded, minimum, preferred, affinity)
