Drain a target for as long as its requests usually take before it loads weights

What callers saw: running streams went on with other weights, so that the rest of their output was unusable, because their target was drained for 0.8 s (the first batch) or 1.5 s, whatever its requests took.

Change: a target is drained for the time within which 95 in 100 recent requests of its pool were complete. The promised limit for starts, less the lease and the time to load, still bounds draining; the batches of a pool share that time evenly, so that the first one leaves as much to the second. While nothing is known, only this bound holds. Draining still ends as soon as the target has no requests.

Evidence: WeightRolloutSpec: with the former times put back, "waits for running requests for as long as they usually take" and "leaves the second batch as much time" fail. They replace "waits for running requests, but only until the drain deadline", which allowed an order from 0.7 s on and asked for one by 1 s, the former constant.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
@@ -1,6 +1,6 @@
 /*
- * Observed service times. How long a request may wait and when a silent attempt is given up are derived from what recent
- * requests of the same route took.
+ * Observed service times. How long a request may wait, when a silent attempt is given up and how long a target is drained are
+ * derived from what recent requests of the same route took.
  */
 package org.cactuspulley.core.forwarding
 
@@ -80,6 +80,9 @@
     /** Returns the median time of a complete response; zero if it is not known. */
     public fun medianTotal(now: MonotonicTime): Duration = totals.quantile(MEDIAN, now) ?: Duration.ZERO
 
+    /** Returns the time within which almost all responses were complete; null if it is not known. */
+    public fun usualTotal(now: MonotonicTime): Duration? = totals.quantile(ALMOST_ALL, now)
+
     /**
      * Returns the time after which an attempt that has received nothing is unusually slow. Before there are enough observations, it
      * is the initial timeout of a TCP retransmission (RFC 6298).
@@ -115,6 +118,10 @@
     public fun of(pool: PoolName, route: RouteName): ServiceTimes =
         byPool.getOrPut(pool) { HashMap() }.getOrPut(route) { ServiceTimes() }
 
+    /** Returns the time within which almost all requests of every route in [pool] were complete; null if it is not known. */
+    public fun usualTotal(pool: PoolName, now: MonotonicTime): Duration? =
+        byPool[pool]?.values?.mapNotNull { it.usualTotal(now) }?.maxOrNull()
+
     /** Discards the service times of routes that [configuration] does not contain. */
     public fun retain(configuration: ForwardingConfiguration) {
         val names = configuration.routes.map { it.name }.toSet()
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -7,6 +7,7 @@
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.earliest
 import kotlin.math.ceil
@@ -96,18 +97,27 @@
      */
     val drainLimit: Duration get() = (startLimit - lease - UPDATE_TIME).coerceAtLeast(Duration.ZERO)
 
+    /** How long after newer weights were named the first batch of a pool may be drained; the batches share [drainLimit]. */
+    val firstDrainLimit: Duration get() = drainLimit / ceil(1.0 / maxConcurrentFraction)
+
     private companion object {
         /** The time in which two halves of a pool load weights one after the other without being drained. */
         val UPDATE_TIME = 1_000.milliseconds
     }
 }
 
-/** Decides what a rollout does next; it performs no input or output itself. */
+/**
+ * Decides what a rollout does next; it performs no input or output itself.
+ *
+ * A target is drained for as long as its running requests usually take, so that most of them end on the weights they began on, but
+ * only until a time that leaves enough for all targets to load the weights in time.
+ */
 public class WeightRollout(
     private val self: InstanceId,
     private val directory: TargetDirectory,
     private val desired: DesiredWeightsTracker,
     private val fleet: FleetView,
+    private val serviceTimes: ServiceTimesRegistry,
     private val settings: RolloutSettings = RolloutSettings(),
 ) {
     private class TargetUpdate(val target: TargetId, val model: ModelName) {
@@ -228,15 +238,22 @@
             val pools = outdated(weights).groupBy { it.entry.pool }
             for ((pool, targets) in pools) {
                 val members = directory.members(pool).filter { weights.model in it.entry.weights }
-                startPoolUpdates(members, targets, weights, now)
+                startPoolUpdates(pool, members, targets, weights, now)
             }
         }
     }
 
-    private fun startPoolUpdates(members: List<Target>, targets: List<Target>, weights: DesiredWeights, now: MonotonicTime) {
+    private fun startPoolUpdates(
+        pool: PoolName,
+        members: List<Target>,
+        targets: List<Target>,
+        weights: DesiredWeights,
+        now: MonotonicTime,
+    ) {
         val capacity = ceil(members.size * settings.maxConcurrentFraction).toInt().coerceAtLeast(1) - members.count { it.id in updates }
         val isFirstBatch = targets.size == members.size
-        val drainUntil = minOf(now + if (isFirstBatch) FIRST_DRAIN_TIME else DRAIN_TIME, weights.namedAt + settings.drainLimit)
+        val drainLimit = weights.namedAt + if (isFirstBatch) settings.firstDrainLimit else settings.drainLimit
+        val drainUntil = serviceTimes.usualTotal(pool, now)?.let { minOf(now + it, drainLimit) } ?: drainLimit
         // An order makes a target return the requests that wait there, so a late rollout begins where most of them wait.
         val byLoad = compareBy<Target> { it.load.total(now) }.let { if (drainUntil > now) it else it.reversed() }
         targets.filter { it.id !in updates }.sortedWith(byLoad).take(capacity.coerceAtLeast(0)).forEach { target ->
@@ -319,15 +336,6 @@
         /** The delay before the next claim if the store did not answer. */
         val CLAIM_RETRY_DELAY = 500.milliseconds
 
-        /**
-         * How long the first targets are drained. Starting requests on older weights is penalized after 1.5 s; the
-         * rest of that time is left for loading.
-         */
-        val FIRST_DRAIN_TIME = 800.milliseconds
-
-        /** How long the other targets are drained while the first ones serve; most streams take a second. */
-        val DRAIN_TIME = 1_500.milliseconds
-
         /** The interval at which a draining target is checked; its load is reported at the same interval. */
         val DRAIN_CHECK_INTERVAL = 100.milliseconds
 
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -8,6 +8,7 @@
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.InstanceIncarnation
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.RouteName
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.ZoneName
 import kotlin.time.Duration
@@ -22,7 +23,8 @@
     val directory = TargetDirectory().apply { (1..targets).forEach { upsert(entry("t-$it")) } }
     val desired = DesiredWeightsTracker()
     val fleet = FleetView(member("i-1"))
-    val rollout = WeightRollout(InstanceId("i-1"), directory, desired, fleet)
+    val serviceTimes = ServiceTimesRegistry()
+    val rollout = WeightRollout(InstanceId("i-1"), directory, desired, fleet, serviceTimes)
     var now = START
     var claims = 0
     var claimAnswer: ClaimAnswer = ClaimAnswer.Granted(1)
@@ -32,6 +34,10 @@
     private val versions = HashMap<TargetId, Long>()
     var mostLoading = 0
 
+    /** Lets the usual time of a complete response be [duration]. */
+    fun observeTotals(duration: Duration) =
+        repeat(10) { serviceTimes.of(POOL, RouteName("route/ask/")).recordTotal(duration, now) }
+
     fun run(duration: Duration) {
         val until = now + duration
         while (now < until) {
@@ -105,14 +111,43 @@
             simulation.orders.map { it.runs }.toSet() shouldBe setOf(RunsDuringLoad.FINISH)
         }
 
-        it("waits for running requests, but only until the drain deadline") {
+        // Guards against running requests that continue on other weights, where their output is unusable, although they would end soon.
+        it("waits for running requests for as long as they usually take, and no longer") {
             val simulation = RolloutSimulation(1)
+            simulation.observeTotals(1_200.milliseconds)
             simulation.directory[TargetId("t-1")]?.load?.add(1.0)
             simulation.desired.record(MODEL, 2, START)
-            simulation.run(700.milliseconds)
+            simulation.run(1_100.milliseconds)
             simulation.orders.shouldBeEmpty()
-            simulation.run(300.milliseconds)
+            simulation.run(200.milliseconds)
+            simulation.orders shouldHaveSize 1
+        }
+
+        it("orders a target soon after its last request has ended, however long requests usually take") {
+            val simulation = RolloutSimulation(1)
+            simulation.observeTotals(1_200.milliseconds)
+            simulation.directory[TargetId("t-1")]?.load?.add(1.0)
+            simulation.desired.record(MODEL, 2, START)
+            simulation.run(200.milliseconds)
+            simulation.directory[TargetId("t-1")]?.load?.add(-1.0)
+            simulation.run(150.milliseconds)
+            simulation.orders shouldHaveSize 1
+        }
+
+        // Of the eight seconds until the limit for starts, the lease and the loading leave four for draining two batches.
+        it("leaves the second batch as much time for draining as the first, if requests take longer than both") {
+            val simulation = RolloutSimulation(2)
+            simulation.observeTotals(10.seconds)
+            simulation.directory.all.forEach { it.load.add(1.0) }
+            simulation.desired.record(MODEL, 2, START)
+            simulation.run(1_950.milliseconds)
+            simulation.orders.shouldBeEmpty()
+            simulation.run(150.milliseconds)
+            simulation.orders shouldHaveSize 1
+            simulation.run(1_800.milliseconds)
             simulation.orders shouldHaveSize 1
+            simulation.run(250.milliseconds)
+            simulation.orders shouldHaveSize 2
         }
 
         // Guards against targets that keep replaced weights past the limit because each new holder of the claim drains them anew.
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -93,6 +93,7 @@
         state.directory,
         state.desiredWeights,
         state.fleet,
+        state.serviceTimes,
         RolloutSettings(
             lease = settings.bounds.leaseMillis.milliseconds,
             startLimit = settings.bounds.startLimitMillis.milliseconds,
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -199,7 +199,7 @@
             )
             val operations = StoreFollower(context, store, StoreTopic.OPERATIONS, NoOpListener, null) { false }
             val registry: TargetRegistry = TargetRegistry(context, registryStore, RegistryRecords) {}
-            private val rollout = WeightRollout(member.id, state.directory, state.desiredWeights, state.fleet)
+            private val rollout = WeightRollout(member.id, state.directory, state.desiredWeights, state.fleet, state.serviceTimes)
             val exchange: DigestExchange =
                 DigestExchange(context, member, rollout, operations, registry, onUpdate = {}) { message, peers ->
                     send(this@SimulatedInstance, message, peers)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
@@ -90,7 +90,7 @@
                 sendDigests = { digests++ },
             )
             val control = AcceptingTargets()
-            val rollout = WeightRollout(member.id, state.directory, state.desiredWeights, state.fleet)
+            val rollout = WeightRollout(member.id, state.directory, state.desiredWeights, state.fleet, state.serviceTimes)
             val driver = RolloutDriver(context, ClaimRecord("i-1", 1), rollout, GrantingStore, control)
             repeat(TARGETS) {
                 val zone = ZoneName("zone-a")
