Serve what arrives late in a planned stop if it can be complete before the end

What callers saw: from 2.8 s of a planned stop on, every stream was refused, and every other request whose deadline lay behind the end of the stop, although almost all would have been complete within a fraction of the time that was left.

Cause: PlannedStop.refuses took "is a stream" and the deadline for the work left.

Change: a late request is refused only if an unusually slow response (twice the time within which 95 in 100 recent ones of its route were complete) would not be complete before the end, nor its deadline have passed. While nothing is known of its route, the deadline decides.

Evidence: PlannedStopSpec, in both directions; before, the first case was refused and a stream of the third was. LateStopSpec holds on.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
@@ -83,6 +83,9 @@
     /** Returns the time within which almost all responses were complete; null if it is not known. */
     public fun usualTotal(now: MonotonicTime): Duration? = totals.quantile(ALMOST_ALL, now)
 
+    /** Returns the time after which a response that is not complete is unusually slow; null if it is not known. */
+    public fun totalLimit(now: MonotonicTime): Duration? = usualTotal(now)?.times(SAFETY_FACTOR)
+
     /**
      * Returns the time after which an attempt that has received nothing is unusually slow. Before there are enough observations, it
      * is the initial timeout of a TCP retransmission (RFC 6298).
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -84,7 +84,7 @@
     fun start() {
         grant = state.authorizer.authorize(request).getOrElse { refusal -> return refuseEarly(refusal, RETRY_AFTER_UNCONFIGURED) }
         progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool), serviceTimes)
-        if (context.plannedStop?.refuses(grant.route.isStream, progress.deadline, arrivedAt) ?: false) {
+        if (context.plannedStop?.refuses(progress.deadline, serviceTimes.totalLimit(arrivedAt), arrivedAt) ?: false) {
             return refuseEarly(ForwardingRefusal.STOPPING, RETRY_AFTER_STOPPING)
         }
         val requestFingerprint = Fingerprint(grant.workspace?.name, context.hash(request.path, body))
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/PlannedStop.kt
@@ -18,11 +18,11 @@
      * Returns whether a new request is refused at [now], because it might not end before the process does. Its caller gets an answer
      * from another instance, to which callers are directed by then.
      *
-     * @param isStream whether the request asks for a stream, which usually takes long.
      * @param deadline when the request ends at the latest.
+     * @param totalLimit the time after which a response to such a request would be unusually slow; null if it is not known.
      */
-    fun refuses(isStream: Boolean, deadline: MonotonicTime, now: MonotonicTime): Boolean =
-        now - startedAt > ADDRESS_USE && (isStream || deadline > endsAt)
+    fun refuses(deadline: MonotonicTime, totalLimit: Duration?, now: MonotonicTime): Boolean =
+        now - startedAt > ADDRESS_USE && deadline > endsAt && (totalLimit == null || now + totalLimit > endsAt)
 
     private companion object {
         /** After this time no caller is directed to this instance; the rest of the stop is for requests that have started. */
