Let a prompt wait at its preferred target no longer than its shared pieces are worth

What callers saw: a short question whose shared pieces take five milliseconds to prefill was sent behind 150 ms of other prompts, because those pieces were there.

Evidence: TargetSelectorSpec "is the first one while the work there is less than prefilling its shared pieces, and another one beyond that"; with the former constant put back, the second half fails.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetLoad.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetLoad.kt
@@ -59,6 +59,9 @@
          */
         public const val RUNNING_STREAM_UNITS: Double = 0.15
 
+        /** Returns the load in units of prefilling [tokens]. */
+        public fun prefillUnits(tokens: Int): Double = tokens / TOKENS_PER_UNIT
+
         /**
          * Returns the load in units, until the first event, of a request with [prompt], of which [cachedTokens] are
          * cached or fetched. It is one unit for a request without a prompt.
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -48,7 +48,7 @@
  *
  * Requests that share a prompt prefix go to the target that rendezvous hashing ranks first for it, so that all
  * instances agree without communication, and to the next target while the first one's load exceeds the limit derived
- * from the pool's mean load. Other requests go to the least loaded target, preferably in the instance's own zone.
+ * from the pool's mean load and the work that the prefix saves. Other requests go to the least loaded target, preferably in the instance's own zone.
  */
 public class TargetSelector(
     private val directory: TargetDirectory,
@@ -98,12 +98,15 @@
         val preferred = criteria.preferredWeights
         val affinity = criteria.affinity ?: return candidates.minBy { it.load.total(now) }
         val loads = candidates.associateWith { it.load.total(now) }
-        val loadLimit = LOAD_LIMIT_BASE + LOAD_LIMIT_FACTOR * loads.values.sum() / candidates.size
+        val loadLimit = prefixUnits(criteria.prompt) + LOAD_LIMIT_FACTOR * loads.values.sum() / candidates.size
         val ranked = rendezvousRank(affinity.toString(), candidates) { it.id.text }.filter { loads.getValue(it) <= loadLimit }
         val preferredTarget = ranked.firstOrNull { preferred == null || (it.probableWeights(model, now) ?: 0) >= preferred }
         return preferredTarget ?: ranked.firstOrNull() ?: candidates.minBy { loads.getValue(it) }
     }
 
+    /** The load that a request saves at a target that has its shared pieces; waiting behind as much takes no longer than it saves. */
+    private fun prefixUnits(prompt: PromptDescription?): Double = TargetLoad.prefillUnits(prompt?.sharedTokens ?: 0)
+
     private fun leastLoaded(candidates: List<Target>, now: MonotonicTime): Target = candidates.minBy { target ->
         val zonePenalty = if (target.entry.zone == zone) 0.0 else OTHER_ZONE_PENALTY
         val reported = target.health.load(now)
@@ -112,12 +115,6 @@
     }
 
     private companion object {
-        /**
-         * The units that the load limit adds to the multiple of the mean load: 6,000 tokens are prefilled in 150 ms,
-         * a third of an objective.
-         */
-        const val LOAD_LIMIT_BASE = 6.0
-
         /**
          * The multiple of the mean load that a target may have; 1.25 keeps requests with the same affinity together
          * while the load is even (consistent hashing with bounded loads).
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
@@ -45,6 +45,16 @@
             (selector(directory).select(criteria(7), START)?.id == first.id) shouldBe false
         }
 
+        // Guards against prompts that wait behind more work than their shared pieces are worth.
+        it("is the first one while the work there is less than prefilling its shared pieces, and another one beyond that") {
+            val directory = directory(100)
+            val first = selector(directory).select(criteria(7), START) ?: error("no target")
+            first.load.add(0.95)
+            selector(directory).select(criteria(7), START)?.id shouldBe first.id
+            first.load.add(0.1)
+            (selector(directory).select(criteria(7), START)?.id == first.id) shouldBe false
+        }
+
         it("has the preferred weights while such targets have capacity") {
             val directory = directory(2)
             directory.upsert(entry("t-2", weights = 2, reportNumber = 2))
