Know the service times of a route after five observations

What callers saw: an instance that had seen six responses of a route took them for nothing known, so that a target that fell silent within the first second was still used for requests whose deadline is shorter than that second.

Cause: ten observations were asked for. The limits double the largest of a few and have a floor, so fewer do.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
@@ -49,7 +49,7 @@
         const val CAPACITY = 128
 
         /** Quantiles of fewer observations say little about the next request. */
-        const val MIN_OBSERVATIONS = 10
+        const val MIN_OBSERVATIONS = 5
 
         /** Full observations are sorted again when one in this many is new. */
         const val SORT_INTERVAL = 8
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ServiceTimesSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ServiceTimesSpec.kt
@@ -11,7 +11,7 @@
     describe("observed durations") {
         it("have no quantile while there are few") {
             val durations = RecentDurations()
-            repeat(9) { durations.record(20.milliseconds, START) }
+            repeat(4) { durations.record(20.milliseconds, START) }
             durations.quantile(0.5, START) shouldBe null
             durations.record(20.milliseconds, START)
             durations.quantile(0.5, START) shouldBe 20.milliseconds
