Let a request wait for the first configuration as long as its caller has time

What callers saw: a request to an instance that had just started was refused after 250 ms, although the configuration came soon after and the caller had time left; all instances of a fleet that restarts together refused alike.

Change: during the two seconds in which an instance reads its first configuration unless the store fails, a request waits until its deadline. After that, an instance without one refuses at once, as before.

Evidence: FirstConfigurationSpec "is served if the configuration arrives before its deadline" failed before (503); "is refused as not run at its deadline" holds the other direction.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -1,5 +1,6 @@
 package org.cactuspulley.runtime.forwarding
 
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -116,14 +117,16 @@
     private fun startNext() {
         if (isBusy || isClosing) return
         val pending = pipelined.firstOrNull() ?: return
-        if (context.state.awaitsConfiguration(pending.arrivedAt, context.clock.now())) {
+        val parsed = protocol.read(pending.head, pending.arrivedAt)
+        val awaitsConfiguration = parsed.get()?.let { context.state.awaitsConfiguration(it.deadline, context.clock.now()) } ?: false
+        if (awaitsConfiguration) {
             context.schedule(CONFIGURATION_POLL_INTERVAL, ::startNext)
             return
         }
         pipelined.removeFirst()
         isBusy = true
         val writer = ConnectionResponseWriter(pending.head)
-        val request = protocol.read(pending.head, pending.arrivedAt).getOrElse { refusal -> return writer.refuse(refusal, null) }
+        val request = parsed.getOrElse { refusal -> return writer.refuse(refusal, null) }
         writer.request = request.id
         val started = ForwardedExchange(context, writer, pending.head, pending.body, request, pending.arrivedAt)
         exchange = started
@@ -239,7 +242,7 @@
     private companion object {
         const val CHUNKED = "chunked"
 
-        /** How often a request that waits for the first configuration looks for it; a tenth of what it may wait. */
+        /** How often a request that waits for the first configuration looks for it; a read of it takes several times as long. */
         val CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 
         /** The maximum number of pipelined requests that wait on one connection. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -53,11 +53,11 @@
     private val retryBudgets = HashMap<PoolName, RetryBudget>()
 
     /**
-     * Returns whether a request that arrived at [arrivedAt] should wait, because this instance has just started and is about to read its
-     * first configuration.
+     * Returns whether a request should wait until its [deadline], because this instance has just started and is about to read its first
+     * configuration. Other instances that have just started could not serve it sooner.
      */
-    fun awaitsConfiguration(arrivedAt: MonotonicTime, now: MonotonicTime): Boolean =
-        authorizer.configuration == null && now - startedAt < STARTUP_TIME && now - arrivedAt < MAX_CONFIGURATION_WAIT
+    fun awaitsConfiguration(deadline: MonotonicTime?, now: MonotonicTime): Boolean =
+        authorizer.configuration == null && now - startedAt < STARTUP_TIME && (deadline == null || now < deadline)
 
     /** The token buckets that are in use, by workspace. */
     val allTokenBuckets: Map<WorkspaceId, ReplicatedTokenBucket> get() = tokenBuckets
@@ -111,9 +111,6 @@
         /** The time after its start in which an instance reads the configuration, unless the store fails. */
         val STARTUP_TIME = 2_000.milliseconds
 
-        /** How long a request waits for the first configuration: twice the time that its read takes on a slow instance. */
-        val MAX_CONFIGURATION_WAIT = 250.milliseconds
-
         /** The share of the fleet's retry budget that is used; the rest covers windows during which the traffic changes. */
         const val BUDGET_SHARE = 0.8
 
