Give a free target to the most urgent of the requests that wait

What callers saw: when a target became available, whichever waiting request looked first by chance got its places; an urgent one could be turned away as the target was full again.

Cause: each request polled by its own timer.

Change: waiting requests look for a target together, ordered by the priority that the configuration gives them and, among equals, by the time that is left. First attempts and repeats wait in the same order.

Evidence: WaitingRequestsSpec; with a timer for each request the order was that of the timers.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -15,6 +15,7 @@
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.ServiceTimes
 import org.cactuspulley.core.forwarding.Target
+import org.cactuspulley.core.forwarding.Urgency
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.quarantine.CrashNotice
@@ -158,7 +159,7 @@
             is Availability.From -> availability.time <= latestStart
         }
         if (isWaiting) {
-            context.schedule(TARGET_POLL_INTERVAL) { startAttempt() }
+            context.waiting.add(Urgency(grant.priority, latestStart), ::startAttempt)
             return null
         }
         val lastResort = state.selector.select(criteria.copy(isLastResort = true), now)
@@ -351,9 +352,6 @@
         /** Added to the time until the rate permits the request, to allow for the digests of other instances. */
         val RETRY_AFTER_OVER_RATE = 100.milliseconds
 
-        /** How often a waiting request looks for a target; it is about the processing time of a plain service. */
-        val TARGET_POLL_INTERVAL = 20.milliseconds
-
         /** The version of weights that is assumed until a desired one is known; versions start at 1. */
         const val FIRST_WEIGHTS_VERSION = 1L
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -45,6 +45,9 @@
     /** What targets say in their responses about leaving. */
     val leavingTargets = LeavingTargetExchange(this)
 
+    /** The requests that wait for a target. */
+    val waiting = WaitingRequests({ delay, action -> schedule(delay, action) }, { loop.execute(it) })
+
     /** The memory of the responses that are held until they are complete. */
     val responseMemory = ResponseMemory()
 
