--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -48,7 +48,8 @@
  *
  * Requests that share a prompt prefix go to the target that rendezvous hashing ranks first for it, so that all
  * instances agree without communication, and to the next target while the first one's load exceeds the limit derived
- * from the pool's mean load and the work that the prefix saves. Other requests go to the least loaded target, preferably in the instance's own zone.
+ * from the pool's mean load and the work that the prefix saves. Other requests go to the least loaded target, preferably
+ * in the instance's own zone.
  */
 public class TargetSelector(
     private val directory: TargetDirectory,
