--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestAuthorizer.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestAuthorizer.kt
@@ -24,6 +24,9 @@
     ARRIVED_TOO_SLOWLY,
     STOPPING,
 
+    /** The requests that this instance holds leave no memory for another one. */
+    NO_MEMORY,
+
     /** The request was sent and may have run, but its deadline passed without a response. */
     NO_ANSWER,
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -40,7 +40,11 @@
     private lateinit var ctx: ChannelHandlerContext
     private val pipelined = ArrayDeque<PendingRequest>()
     private var head: HttpRequest? = null
-    private val body = ByteArrayOutputStream(0)
+    private var body = ByteArrayOutputStream(0)
+    private val memory = context.requestMemory.Share()
+
+    /** The size of the request whose response is outstanding. */
+    private var runningBytes = 0
     private var exchange: ForwardedExchange? = null
     private var isBusy = false
     private var isClosing = false
@@ -68,6 +72,7 @@
         exchange?.callerGone()
         exchange = null
         pipelined.clear()
+        memory.resize(0)
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
@@ -84,7 +89,7 @@
         if (message is HttpRequest) {
             if (isAmbiguous(message)) return refuseAndClose(ForwardingRefusal.MALFORMED)
             head = message
-            body.reset()
+            body = ByteArrayOutputStream(0)
             if (HttpUtil.is100ContinueExpected(message)) {
                 ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
             }
@@ -97,15 +102,21 @@
         val content = message.content()
         if (body.size() + content.readableBytes() > listener.limits.bodyBytes) return refuseAndClose(ForwardingRefusal.TOO_LARGE)
         content.readBytes(body, content.readableBytes())
+        if (!recordMemory()) return refuseAndClose(ForwardingRefusal.NO_MEMORY)
         if (message !is LastHttpContent) return
         head = null
         pipelined.addLast(PendingRequest(started, body.toByteArray(), lastActive))
-        body.reset()
+        body = ByteArrayOutputStream(0)
+        recordMemory()
         if (pipelined.size > MAX_PIPELINED) return refuseAndClose(ForwardingRefusal.MALFORMED)
         // After a delay of the event loop, the caller may have closed the connection already without the close having been read.
         if (context.loopDelay.isDelayed(lastActive)) context.afterNextRead(::startNext) else startNext()
     }
 
+    /** Records what the requests of this connection hold; returns false if that is too much. A body that grows has twice its size. */
+    private fun recordMemory(): Boolean =
+        memory.resize(2L * body.size() + pipelined.sumOf { it.body.size.toLong() } + runningBytes)
+
     /** Detects request smuggling: a message whose length can be interpreted in two ways may hide a second request. */
     private fun isAmbiguous(message: HttpRequest): Boolean {
         val headers = message.headers()
@@ -125,6 +136,7 @@
         }
         pipelined.removeFirst()
         isBusy = true
+        runningBytes = pending.body.size
         val writer = ConnectionResponseWriter(pending.head)
         val request = parsed.getOrElse { refusal -> return writer.refuse(refusal, null) }
         writer.request = request.id
@@ -137,12 +149,14 @@
     private fun refuseAndClose(refusal: ForwardingRefusal) {
         isClosing = true
         head = null
+        body = ByteArrayOutputStream(0)
+        recordMemory()
         // The caller would take the refusal for the response to an earlier request.
         if (isBusy || pipelined.isNotEmpty()) {
             ctx.close()
             return
         }
-        val response = protocol.refusal(refusal, null, null)
+        val response = protocol.refusal(refusal, null, RETRY_AFTER_NO_MEMORY.takeIf { refusal == ForwardingRefusal.NO_MEMORY })
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
         ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
@@ -179,6 +193,8 @@
     private fun responseEnded(closesConnection: Boolean) {
         exchange = null
         isBusy = false
+        runningBytes = 0
+        recordMemory()
         lastActive = context.clock.now()
         if (closesConnection || isClosing) {
             closeAfterWrites()
@@ -245,6 +261,9 @@
         /** How often a request that waits for the first configuration looks for it; a read of it takes several times as long. */
         val CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 
+        /** Another instance may have room immediately. */
+        val RETRY_AFTER_NO_MEMORY = 50.milliseconds
+
         /** The maximum number of pipelined requests that wait on one connection. */
         const val MAX_PIPELINED = 8
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -35,6 +35,7 @@
     private val onCrash: (CrashNotice) -> Unit,
     private val sendDigests: () -> Unit,
     private val sendToAll: () -> Unit = sendDigests,
+    requestMemoryBytes: Long = Long.MAX_VALUE,
 ) {
     /** The allocator of all buffers of the exchanges. */
     val allocator: ByteBufAllocator = PooledByteBufAllocator.DEFAULT
@@ -49,7 +50,10 @@
     val waiting = WaitingRequests({ delay, action -> schedule(delay, action) }, { loop.execute(it) })
 
     /** The memory of the responses that are held until they are complete. */
-    val responseMemory = ResponseMemory()
+    val responseMemory = BufferMemory(MAX_RESPONSE_BYTES, MAX_RESPONSES_BYTES)
+
+    /** The memory of the requests of all connections, which are held until they have their responses. */
+    val requestMemory = BufferMemory(requestMemoryBytes, requestMemoryBytes)
 
     private var digestPending = false
 
@@ -92,6 +96,12 @@
         /** Collects several changes into one digest; a quarter of the regular period. */
         val DIGEST_DELAY = 100.milliseconds
 
+        /** Plain responses and events of targets have a few kilobytes at most. */
+        const val MAX_RESPONSE_BYTES = 1024L * 1024
+
+        /** A sixth of the buffer memory of an instance, for all its responses together. */
+        const val MAX_RESPONSES_BYTES = 16L * 1024 * 1024
+
         val HASHER = Hashing.xxh3_64()
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -52,6 +52,8 @@
 /**
  * An instance that forwards requests unchanged to the targets in a platform's registry.
  *
+ * [requestMemoryBytes] bounds the memory of all requests that it holds; requests beyond it are refused as not run.
+ *
  * All its state is confined to one event loop thread, which also handles the traffic: instances run on less than one processor
  * core, where a handover between threads costs more than it gains.
  */
@@ -61,6 +63,7 @@
     group: EventLoopGroup,
     private val ports: PlatformPorts,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+    requestMemoryBytes: Long = Runtime.getRuntime().maxMemory() / REQUEST_MEMORY_DIVISOR,
 ) {
     private val loop: EventLoop = group.next()
     private val incarnation = System.currentTimeMillis()
@@ -85,6 +88,7 @@
         onCrash = { notice -> digests.sendCrash(notice) },
         sendDigests = { digests.sendDigests() },
         sendToAll = { digests.sendToAll() },
+        requestMemoryBytes = requestMemoryBytes,
     )
     private val log = context.log
     private val listener = CallerListener(context, ports.callers)
@@ -340,6 +344,9 @@
     }
 
     private companion object {
+        /** The part of the heap that requests may hold; the rest is for the state of the instance and for copies of a request. */
+        const val REQUEST_MEMORY_DIVISOR = 4
+
         /** The period in milliseconds of the timer for timeouts and registry reads. */
         const val TICK_MILLIS = 100L
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -338,11 +338,11 @@
         val stream = events
         if (stream == null) {
             collect(content)
-            if (!memory.resize(bodyBuffer.readableBytes())) exceedLimit("body")
+            if (!memory.resize(bodyBuffer.readableBytes().toLong())) exceedLimit("body")
             return
         }
         val completeEvents = stream.accept(content)
-        if (!memory.resize(stream.partialEventBytes)) {
+        if (!memory.resize(stream.partialEventBytes.toLong())) {
             completeEvents?.release()
             return exceedLimit("event")
         }
