--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -285,6 +285,7 @@
             val now = clock.now()
             return when (change) {
                 is OperatorChange.Configuration -> state.configure(change.configuration, now).also { applied ->
+                    state.authorizer.configuration?.let { metrics.configured(it.version) }
                     log.event("configuration", "version" to change.configuration.version, "applied" to applied, "offset" to offset)
                     cacheStores.update()
                     updateReadiness()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -1,6 +1,7 @@
 package org.cactuspulley.runtime.forwarding
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.cactuspulley.runtime.metrics.text
@@ -20,6 +21,9 @@
     private val failedAttempts = counter("cactuspulley_failed_sends_total", "Sends that ended without a deliverable answer", "cause")
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
 
+    private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
+        .help("The version of the configuration in force; 0 before the first").register(registry)
+
     fun delivered(pool: String, duration: Duration, timing: StreamTiming) {
         responses.labelValues(pool).observe(duration.toDouble(DurationUnit.SECONDS))
         val timeToFirstEvent = timing.timeToFirstEvent ?: return
@@ -33,6 +37,8 @@
 
     fun attemptFailed(cause: String) = failedAttempts.labelValues(cause).inc()
 
+    fun configured(version: Long) = configurationVersion.set(version.toDouble())
+
     fun event(name: String) = events.labelValues(name).inc()
 
     /** Returns all metrics in the Prometheus text format. */
