--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
@@ -58,7 +58,7 @@
  * @property isStream whether responses are event streams.
  * @property isAnonymous whether callers need no API key.
  * @property timeout the longest time that a request may take.
- * @property latencyObjective the time within which a response, or the first event of a stream, is on time.
+ * @property latencyObjective the time within which a response, or the first event of a stream, is on time. It is only reported.
  * @property maximumAttempts the largest number of send attempts in which the request may have run; attempts in which it
  *    certainly did not run do not count.
  * @property priority the priority of the route's requests; 0 is the most urgent.
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -36,6 +36,7 @@
             "status" to status,
             "sends" to sentAttempts,
             "millis" to duration.inWholeMilliseconds,
+            "objectiveMillis" to grant.route.latencyObjective.inWholeMilliseconds,
             "firstMillis" to timing.timeToFirstEvent?.inWholeMilliseconds,
             "pauseMillis" to timing.longestPause.takeIf { timing.timeToFirstEvent != null }?.inWholeMilliseconds,
             "configuration" to grant.configurationVersion,
