Log which connection to a target a response came on, and bytes that belong to no request

A failed send's line has the connection and how many requests it has carried, and a connection that is closed because its target sent something unasked is named (unexpected_bytes). With them a late copy of a refusal can be told from a first refusal: the copy comes on a connection that has carried the request before. No decision changes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -2,13 +2,13 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
+import io.netty.channel.Channel
 import org.cactuspulley.core.forwarding.ForwardedRequest
 import org.cactuspulley.core.forwarding.ForwardingGrant
 import org.cactuspulley.core.forwarding.ForwardingRefusal
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.WorkspaceDescription
 import org.cactuspulley.core.model.RequestId
-import org.cactuspulley.core.model.TargetId
 import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger("decisions")
@@ -76,7 +76,7 @@
 
     /**
      * Records an attempt that ended without a usable response. How far the response got and the shared pieces of the prompt show which
-     * requests may have crashed the target.
+     * requests may have crashed the target; the connection shows whether the response may have been due to an earlier request there.
      */
     fun attemptFailed(request: ForwardedRequest, attempt: SendAttempt, failure: SendFailure, reason: String) {
         metrics.attemptFailed(failure.name)
@@ -89,13 +89,26 @@
             "reason" to reason,
             "response" to attempt.hasResponse,
             "events" to attempt.hasEvents,
+            "connection" to attempt.connection,
+            "requestsOnConnection" to attempt.requestsOnConnection,
             "pieces" to request.prompt?.let { PieceQuarantineExchange.text(it.sharedHashes) },
         )
     }
 
     /** Records a response to another request, [otherRequest], which was discarded. */
-    fun foreignResponse(request: ForwardedRequest, target: TargetId, otherRequest: RequestId) {
-        write("foreign_answer", "request" to request.id.text, "target" to target.text, "answered" to otherRequest.text)
+    fun foreignResponse(request: ForwardedRequest, attempt: SendAttempt, otherRequest: RequestId) {
+        write(
+            "foreign_answer",
+            "request" to request.id.text,
+            "target" to attempt.target.id.text,
+            "answered" to otherRequest.text,
+            "connection" to attempt.connection,
+        )
+    }
+
+    /** Records that a connection to a target delivered bytes that belong to no request, such as a second response. */
+    fun unexpectedBytes(connection: Channel) {
+        event("unexpected_bytes", "connection" to connection.id().asShortText(), "address" to "${connection.remoteAddress()}")
     }
 
     /** Records that the caller disconnected before the response was complete. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -76,21 +76,21 @@
         settings.link.megabitsPerSecond,
     )
     private val metrics = ForwardingMetrics()
+    private val log = DecisionLog(metrics)
     private val state = ForwardingState(self, settings.bounds, clock.now())
     private val context = ForwardingContext(
         loop,
         clock,
         state,
         ports.targets,
-        TargetConnectionPool(loop, clock),
-        DecisionLog(metrics),
+        TargetConnectionPool(loop, clock, TcpTargetConnector(loop, log::unexpectedBytes)),
+        log,
         LoopDelayMonitor(TICK_MILLIS.milliseconds, clock.now()),
         onCrash = { notice -> digests.sendCrash(notice) },
         sendDigests = { digests.sendDigests() },
         sendToAll = { digests.sendToAll() },
         requestMemoryBytes = requestMemoryBytes,
     )
-    private val log = context.log
     private val listener = CallerListener(context, ports.callers)
     private val rollout = WeightRollout(
         self.id,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -138,6 +138,13 @@
     /** The version of the weights that the target must have; null if the request was not sent or has no prompt. */
     val expectedWeights: Long? get() = cachePlan?.expectedWeights
 
+    /** Identifies the connection in the log; null if the request was not written to one. */
+    val connection: String? get() = channel?.id()?.asShortText()
+
+    /** The number of requests that were written to the connection, up to this one; null if the request was not written to one. */
+    var requestsOnConnection: Int? = null
+        private set
+
     /** Whether the request has been written to a connection. */
     val isWritten: Boolean get() = channel != null
 
@@ -180,7 +187,9 @@
             return observer.failed(this, SendFailure.NOT_SENT, "the target no longer accepts requests")
         }
         channel = connection
-        connection.pipeline().get(TargetResponseHandler::class.java).listener = this
+        val handler = connection.pipeline().get(TargetResponseHandler::class.java)
+        handler.assign(this)
+        requestsOnConnection = handler.requestCount
         progress.recordSent()
         write(connection)
         scheduleSilenceCheck(address)
@@ -294,7 +303,7 @@
         val head = context.targetProtocol.responseHead(response)
         val owner = head.request ?: return ResponseOwner.UNKNOWN
         if (owner != request.id) {
-            log.foreignResponse(request, target.id, owner)
+            log.foreignResponse(request, this, owner)
             return ResponseOwner.OTHER_REQUEST
         }
         responseHead = head
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
@@ -19,7 +19,7 @@
 internal class TargetConnectionPool(
     private val loop: EventLoop,
     private val clock: MonotonicClock,
-    private val connector: TargetConnector = TcpTargetConnector(loop),
+    private val connector: TargetConnector,
 ) {
     private class IdleConnection(val channel: Channel, val expiresAt: MonotonicTime) {
         /** Whether everything that arrived together with the last response has been read, so that the connection may be reused. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -46,6 +46,10 @@
 internal class TargetResponseHandler : ChannelInboundHandlerAdapter() {
     /** The attempt that waits for a response; null while the connection is idle. */
     var listener: TargetResponseListener? = null
+
+    /** The number of requests for which the connection has been used. */
+    var requestCount = 0
+        private set
     private var skipsResponse = false
     private var skippedBytes = 0
 
@@ -55,6 +59,12 @@
     private var endsWithConnection = false
     private var failureReason: String? = null
 
+    /** Passes the next response to [listener]. */
+    fun assign(listener: TargetResponseListener) {
+        this.listener = listener
+        requestCount++
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (message is HttpObject) read(context, message)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
@@ -14,8 +14,12 @@
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Connects to targets over TCP. */
-internal class TcpTargetConnector(private val loop: EventLoop) : TargetConnector {
+/**
+ * Connects to targets over TCP.
+ *
+ * @param onUnexpectedBytes called with a connection that is closed because it delivered bytes that belong to no request.
+ */
+internal class TcpTargetConnector(private val loop: EventLoop, private val onUnexpectedBytes: (Channel) -> Unit) : TargetConnector {
     override fun connect(address: HostAndPort, onReady: (Channel?) -> Unit) {
         Bootstrap()
             .group(loop)
@@ -27,7 +31,7 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
             // Distinguishes the target's own end of a connection, which completes a response without a length, from any other end.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .handler(Initializer)
+            .handler(Initializer())
             .connect(address.host, address.port)
             .addListener { future ->
                 val channel = (future as ChannelFuture).channel()
@@ -35,10 +39,11 @@
             }
     }
 
-    private object Initializer : ChannelInitializer<Channel>() {
+    private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val handler = TargetResponseHandler()
-            channel.pipeline().addLast(HttpRequestEncoder(), ExpectedResponseDecoder { handler.listener != null }, handler)
+            val decoder = ExpectedResponseDecoder({ onUnexpectedBytes(channel) }) { handler.listener != null }
+            channel.pipeline().addLast(HttpRequestEncoder(), decoder, handler)
         }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/ExpectedResponseDecoder.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/ExpectedResponseDecoder.kt
@@ -5,13 +5,18 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /**
- * Decodes the responses on one connection and closes the connection if any bytes arrive while [isExpecting] returns false.
+ * Decodes the responses on one connection and closes the connection, after [onUnexpected], if any bytes arrive while [isExpecting]
+ * returns false.
  * Such bytes belong to no request. If they were kept, the beginning of a message would be joined to the next response.
  */
-internal class ExpectedResponseDecoder(private val isExpecting: () -> Boolean) : HttpResponseDecoder() {
+internal class ExpectedResponseDecoder(
+    private val onUnexpected: () -> Unit = {},
+    private val isExpecting: () -> Boolean,
+) : HttpResponseDecoder() {
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, messages: MutableList<Any>) {
         if (!buffer.isReadable || isExpecting()) return super.decode(context, buffer, messages)
         buffer.skipBytes(buffer.readableBytes())
+        onUnexpected()
         context.close()
     }
 }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -191,7 +191,7 @@
                 clock,
                 state,
                 NoTargets,
-                TargetConnectionPool(loop, clock),
+                TargetConnectionPool(loop, clock) { _, _ -> error("no target is called") },
                 DecisionLog(ForwardingMetrics()),
                 LoopDelayMonitor(100.milliseconds, now),
                 onCrash = {},
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
@@ -83,7 +83,7 @@
                 clock,
                 state,
                 NoTargets,
-                TargetConnectionPool(channel.eventLoop(), clock),
+                TargetConnectionPool(channel.eventLoop(), clock) { _, _ -> error("no target is called") },
                 DecisionLog(ForwardingMetrics()),
                 LoopDelayMonitor(100.milliseconds, now),
                 onCrash = {},
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -104,7 +104,7 @@
         clock,
         ForwardingState(member, FleetBounds(), clock.now()),
         UnusedTargets,
-        TargetConnectionPool(eventLoop, clock),
+        TargetConnectionPool(eventLoop, clock) { _, _ -> error("no target is called") },
         DecisionLog(ForwardingMetrics()),
         LoopDelayMonitor(100.milliseconds, clock.now()),
         onCrash = {},
