Never send a request again over a connection on which it was refused

Callers saw: 503 with the promise that a request had not run, although a target ran it; filings and streams that ran twice. Cause: a full target may get a request again after 60 ms, usually over the same kept connection. A late copy of its first refusal then stands where the response is due and bears the right id, so it was taken for a second refusal. Class of fault: a response is matched by an id that was used twice on one connection. Change: a connection remembers the requests that were answered on it without success, and the pool gives such a request another connection. On one connection an id is then used once, so that it tells which request a response belongs to. A connection with more than 64 such requests is not reused.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -161,7 +161,7 @@
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
         target.load.add(units)
-        context.connections.acquire(target.id, address) { channel ->
+        context.connections.acquire(target.id, address, request.id) { channel ->
             // After a delay of the event loop, the caller may have disconnected already without that having been read.
             if (context.loopDelay.isDelayed(context.clock.now())) {
                 context.afterNextRead { connected(channel, address) }
@@ -402,6 +402,7 @@
     }
 
     private fun releaseOrClose(connection: Channel, httpResponse: HttpResponse, head: TargetResponseHead) {
+        if (head.status !in SUCCESS) connection.pipeline().get(TargetResponseHandler::class.java).refusedRequests += request.id
         if (bodyWritten && isTargetStaying && context.isReusable(httpResponse)) {
             context.connections.release(target.id, connection, head.idleTimeout)
         } else {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.EventLoop
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.platform.HostAndPort
@@ -28,9 +29,12 @@
 
     private val idle = HashMap<TargetId, ArrayDeque<IdleConnection>>()
 
-    /** Passes a pooled or new connection to [target] at [address] to [onReady], or null if none could be established in time. */
-    fun acquire(target: TargetId, address: HostAndPort, onReady: (Channel?) -> Unit) {
-        val kept = takeIdle(target)
+    /**
+     * Passes a pooled or new connection to [target] at [address] to [onReady], or null if none could be established in time. [request]
+     * was not refused on it before, because a late copy of that refusal could not be told from the response to the new attempt.
+     */
+    fun acquire(target: TargetId, address: HostAndPort, request: RequestId, onReady: (Channel?) -> Unit) {
+        val kept = takeIdle(target, request)
         if (kept != null) onReady(kept) else connector.connect(address, onReady)
     }
 
@@ -45,7 +49,7 @@
         if (!channel.isActive) return
         val lifetime = (idleTimeout?.times(IDLE_TIMEOUT_SHARE) ?: DEFAULT_IDLE_TIME).coerceAtMost(MAX_IDLE_TIME)
         val kept = idle.getOrPut(target) { ArrayDeque() }
-        if (lifetime <= Duration.ZERO || kept.size >= MAX_IDLE_PER_TARGET) {
+        if (lifetime <= Duration.ZERO || kept.size >= MAX_IDLE_PER_TARGET || channel.refusedRequests.size > MAX_REFUSED_REQUESTS) {
             channel.close()
             return
         }
@@ -69,18 +73,24 @@
         }
     }
 
-    private fun takeIdle(target: TargetId): Channel? {
+    private fun takeIdle(target: TargetId, request: RequestId): Channel? {
         val kept = idle[target] ?: return null
         val now = clock.now()
         while (true) {
-            val candidate = kept.lastOrNull { it.isReadToEnd } ?: return null
+            val candidate = kept.lastOrNull { it.isReadToEnd && request !in it.channel.refusedRequests } ?: return null
             kept.remove(candidate)
             if (candidate.channel.isActive && candidate.expiresAt > now) return candidate.channel
             candidate.channel.close()
         }
     }
 
+    private val Channel.refusedRequests: Set<RequestId>
+        get() = pipeline().get(TargetResponseHandler::class.java)?.refusedRequests.orEmpty()
+
     private companion object {
+        /** Bounds the memory of a connection; one on which more requests were refused is not reused. */
+        const val MAX_REFUSED_REQUESTS = 64
+
         /** The share of a target's idle timeout for which a connection is reused, so that no request races with the target's close. */
         const val IDLE_TIMEOUT_SHARE = 0.6
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.cactuspulley.core.model.RequestId
 
 /** The request that a response belongs to. */
 internal enum class ResponseOwner {
@@ -47,6 +48,9 @@
     /** The attempt that waits for a response; null while the connection is idle. */
     var listener: TargetResponseListener? = null
 
+    /** The requests that were answered on this connection without success, and may be sent again over another one. */
+    val refusedRequests = HashSet<RequestId>()
+
     /** The number of requests for which the connection has been used. */
     var requestCount = 0
         private set
