Don't pass on a refusal to a request that may run once unless its target promises that it did not run

Callers saw: a target's own 503, 429 or 408 without Not-Executed, as it came. They take these statuses for a promise that the request has not run and repeat filings and bookings; the target had made no such promise. Cause: every failure of a target was passed on unchanged; only Not-Executed and 421 say that a request has not run. Class of fault: a status is passed on that means more to the caller than the target said. It has another cause than copied refusals. Evidence: UnpromisedRefusalSpec, 6 of 10 cases failed before, such as with 503 Service Unavailable ... a request that may run once expected:<502> but was:<503>. Change: for requests that may run once, such a response ends with 502; others get it as before. Result: UnpromisedRefusalSpec, CopiedRefusalSpec, TargetPauseSpec, ForwardingSpec, PlatformProtocolsSpec pass.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
@@ -77,6 +77,7 @@
  * @property status the HTTP status code.
  * @property request the id of the request that the response belongs to; null if the response names none or several.
  * @property notRun whether the target guarantees that the request did not run.
+ * @property meansNotRun whether callers take the status for a promise that the request did not run, whatever the headers say.
  * @property isOtherTarget whether the response came from another target than expected, or from one with other weights.
  * @property target the id that the responding target gives itself; null if it gives none.
  * @property load the load of the target; null if the response does not say.
@@ -91,6 +92,7 @@
     val status: Int,
     val request: RequestId?,
     val notRun: Boolean,
+    val meansNotRun: Boolean,
     val isOtherTarget: Boolean,
     val target: String?,
     val load: ServerLoad?,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -429,11 +429,12 @@
         val failure = when {
             head.isOtherTarget -> SendFailure.NOT_RUN_OTHER_TARGET
             head.notRun -> SendFailure.NOT_RUN_FULL
+            isUnpromisedRefusal(head) -> SendFailure.FAILED
             head.status >= SERVER_ERROR -> SendFailure.FAILED
             head.status in SUCCESS && !head.isSigned -> SendFailure.BROKEN
             else -> null
         }
-        if (failure == SendFailure.FAILED && !observer.hasStreamBegun) return observer.targetFailed(this, httpResponse, head.status, body)
+        if (failure == SendFailure.FAILED && !observer.hasStreamBegun && !isUnpromisedRefusal(head)) return observer.targetFailed(this, httpResponse, head.status, body)
         if (failure == SendFailure.NOT_RUN_OTHER_TARGET) handleMisdirected(head)
         if (failure != null || observer.hasStreamBegun) {
             body.release()
@@ -444,6 +445,13 @@
         observer.responseReceived(this, httpResponse, head.status, body)
     }
 
+    /**
+     * Whether the caller of a request that may run once would take the response for the target's promise that it did not run, which
+     * the target has not given.
+     */
+    private fun isUnpromisedRefusal(head: TargetResponseHead): Boolean =
+        head.meansNotRun && !head.notRun && grant.route.repeatability == Repeatability.AT_MOST_ONCE
+
     /** Records a successful response. A resumed stream, of which other targets sent a part, is no observation of a whole request. */
     private fun recordCompletion() {
         val now = context.clock.now()
