Use a connection of its own for each report and order

What callers saw: a rollout could take a target to have weights that it had not, or an order to be refused that the target carried out, so that requests began on old weights or avoided a target that was ready.

Cause: reports and orders shared kept connections, and their responses were told apart only by their place. A response that a target repeats when the next one is due was taken for that one: a report's 200 as "already holds", a 409 as the refusal of the next order.

Evidence, on the code before (PlatformTargetControlSpec, a target on a real socket): an order after a report: expected:<CONFLICT> but was:<ALREADY_HOLDS> an order after a refused one: expected:<ACCEPTED> but was:<CONFLICT> a report after a report: Values differed at keys model-a

Change: such a call connects anew, asks for the connection to be closed and closes it after the response. Calls to the store keep their connections (PlatformHttpClientSpec: three calls on one connection).

Result: the three tests pass. Not measured in a deployment.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
@@ -30,13 +30,19 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** An HTTP request to a platform service. [timeout] starts when the request is written. */
+/**
+ * An HTTP request to a platform service or a target. [timeout] starts when the request is written.
+ *
+ * @property usesOwnConnection whether the request is sent on a new connection, which is closed after the response. A service that may
+ *     repeat a response late, when the next one is due, needs it: responses name no request.
+ */
 public class PlatformRequest(
     public val method: HttpMethod,
     public val path: String,
     public val body: ByteArray = ByteArray(0),
     public val headers: Map<String, String> = emptyMap(),
     public val timeout: Duration = DEFAULT_TIMEOUT,
+    public val usesOwnConnection: Boolean = false,
 ) {
     private companion object {
         val DEFAULT_TIMEOUT = 2_000.milliseconds
@@ -56,8 +62,8 @@
 }
 
 /**
- * A non-blocking HTTP/1.1 client for platform services. Idle connections are pooled and reused. A request that times out
- * closes its connection.
+ * A non-blocking HTTP/1.1 client for platform services. Idle connections are pooled and reused, except those of requests that use
+ * their own. A request that times out closes its connection.
  *
  * @param maximumResponseBytes the maximum size of a response. A request whose response is larger fails.
  */
@@ -73,7 +79,7 @@
     public fun send(address: HostAndPort, request: PlatformRequest, onResult: (Result<PlatformResponse, PlatformRequestFailure>) -> Unit) {
         if (isClosed.get()) return onResult(Err(PlatformRequestFailure.NotSent("closed")))
         val pending = PendingRequest(address, request, onResult)
-        val idleChannel = takeIdleChannel(address)
+        val idleChannel = if (request.usesOwnConnection) null else takeIdleChannel(address)
         // The service, or bytes that belong to no request, may have closed a pooled connection before the request is written.
         if (idleChannel != null) write(idleChannel, pending, ifClosed = { connectAndWrite(pending) }) else connectAndWrite(pending)
     }
@@ -115,7 +121,7 @@
             val handler = channel.pipeline().get(ResponseHandler::class.java)
             if (handler == null || !channel.isActive) return@execute ifClosed()
             handler.pending = pending
-            handler.release = { returnToPool(pending.address, channel) }
+            handler.release = { if (pending.request.usesOwnConnection) channel.close() else returnToPool(pending.address, channel) }
             val timer = channel.eventLoop().schedule(
                 {
                     pending.finish(Err(PlatformRequestFailure.Unanswered("no answer in ${pending.request.timeout}")))
@@ -135,6 +141,7 @@
         httpRequest.headers().set(HttpHeaderNames.HOST, pending.address.toString())
         request.headers.forEach { (name, value) -> httpRequest.headers().set(name, value) }
         HttpUtil.setContentLength(httpRequest, request.body.size.toLong())
+        if (request.usesOwnConnection) HttpUtil.setKeepAlive(httpRequest, false)
         return httpRequest
     }
 
