Drop bytes that reach an idle connection to an engine or a service

What callers saw: a status that belongs to another request.

Cause: the decoder kept the beginning of a response that a target sent after a complete one. Joined to the response to the next request on the connection, it became that response's status line, while the id that followed was the right one.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/ExpectedResponseDecoder.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/ExpectedResponseDecoder.kt
@@ -2,15 +2,19 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /**
  * Decodes the responses on one connection and closes the connection, after [onUnexpected], if any bytes arrive while [isExpecting]
  * returns false.
  * Such bytes belong to no request. If they were kept, the beginning of a message would be joined to the next response.
+ *
+ * @param isBodyless whether the response to the current request has no body, whatever its headers say.
  */
 internal class ExpectedResponseDecoder(
     private val onUnexpected: () -> Unit = {},
+    private val isBodyless: () -> Boolean = { false },
     private val isExpecting: () -> Boolean,
 ) : HttpResponseDecoder() {
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, messages: MutableList<Any>) {
@@ -19,4 +23,6 @@
         onUnexpected()
         context.close()
     }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isBodyless() || super.isContentAlwaysEmpty(message)
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetAttempt.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -32,6 +33,8 @@
     private var readEnabled = true
     private var bodyEndTimer: ScheduledFuture<*>? = null
 
+    val isHeadRequest: Boolean get() = attemptRequest.method == HttpMethod.HEAD
+
     /** Whether the listener has been notified of the outcome. */
     val hasEnded: Boolean get() = ended
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetClient.kt
@@ -7,9 +7,10 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import org.cactuspulley.core.effect.TargetAddress
 import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.platform.ExpectedResponseDecoder
 import java.util.concurrent.ConcurrentHashMap
 
 /**
@@ -62,6 +63,8 @@
     }
 
     private fun initializePipeline(channel: Channel, target: TargetAddress, pool: ConnectionPool) {
-        channel.pipeline().addLast(HttpClientCodec(), TargetConnection(target, pool))
+        val connection = TargetConnection(target, pool)
+        val decoder = ExpectedResponseDecoder(isBodyless = { connection.isHeadRequest }) { connection.isInUse }
+        channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetConnection.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetConnection.kt
@@ -12,6 +12,12 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var attempt: TargetAttempt? = null
 
+    /** Whether an attempt uses the connection. */
+    val isInUse: Boolean get() = attempt != null
+
+    /** Whether the attempt that uses the connection has sent a HEAD request, whose response has no body. */
+    val isHeadRequest: Boolean get() = attempt?.isHeadRequest ?: false
+
     fun assign(newAttempt: TargetAttempt) {
         attempt = newAttempt
     }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/FakeTarget.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/FakeTarget.kt
@@ -18,13 +18,17 @@
     val resumeFrom: Int get() = headers[TargetHeaders.RESUME_FROM.lowercase()]?.toInt() ?: 0
 }
 
-/** Defines how a fake target responds to one request. The target closes the connection when [respond] returns. */
+/** Defines how a fake target responds to one request. */
 internal fun interface TargetBehaviour {
     fun respond(request: ReceivedRequest, connection: Socket)
 }
 
-/** A target on a real socket that applies [behaviour] to each request and stores the received requests. */
-internal class FakeTarget(private val behaviour: TargetBehaviour) : AutoCloseable {
+/**
+ * A target on a real socket that applies [behaviour] to each request and stores the received requests.
+ *
+ * @param keepsConnections whether a connection serves further requests. If not, it is closed after the first one.
+ */
+internal class FakeTarget(private val behaviour: TargetBehaviour, private val keepsConnections: Boolean = false) : AutoCloseable {
     private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     private val executor = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
     val receivedRequests = CopyOnWriteArrayList<ReceivedRequest>()
@@ -44,9 +48,12 @@
 
     private fun serve(connection: Socket) = connection.use {
         try {
-            val request = readRequest(BufferedInputStream(connection.getInputStream())) ?: return
-            receivedRequests += request
-            behaviour.respond(request, connection)
+            val input = BufferedInputStream(connection.getInputStream())
+            do {
+                val request = readRequest(input) ?: return
+                receivedRequests += request
+                behaviour.respond(request, connection)
+            } while (keepsConnections)
         } catch (_: IOException) {
             return
         }
