Reuse no connection after a response without a request id

What callers saw: the refusal of another request, such as a 400.

Cause: errors without an id are accepted, as engines send them. If a target repeats one when the next response on the connection is due, nothing distinguishes it from that one.

Evidence, on the code before (RepeatedResponseSpec, "a refusal without a request id"): expected:<200> but was:<400>

Change: the connection is closed after such a response. Responses with the attempt's id keep it open; ids of attempts are unique, so that a repetition of them is recognised.

Result: RepeatedResponseSpec and CallerServerSpec pass.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/upstream/TargetAttempt.kt
@@ -84,7 +84,8 @@
     private fun onResponseHead(context: ChannelHandlerContext, response: HttpResponse) {
         if (ended) return
         listener.onFirstByte()
-        connectionReusable = HttpUtil.isKeepAlive(response)
+        // If the target repeats a response without an id, nothing distinguishes it from the response to the next request.
+        connectionReusable = HttpUtil.isKeepAlive(response) && response.headers().contains(TargetHeaders.REQUEST_ID)
         val (newReader, result) = ResponseReader.create(attemptRequest, response, settings.limits, listener::onEvent)
         reader = newReader
         handleResult(context, result)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/RepeatedResponseSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/RepeatedResponseSpec.kt
@@ -3,11 +3,14 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
+import java.net.Socket
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicReference
 
 /** The time in which bytes that a target sends reach the router while the connection is idle. */
 private const val IDLE_MILLIS = 100L
 private const val PART_OF_REFUSAL = "HTTP/1.1 400 Bad Request\r\nX-Cut: "
+private const val REFUSAL_WITHOUT_ID = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
 
 /** A response to [request] with the request's id. */
 private fun responseTo(request: ReceivedRequest): String {
@@ -68,6 +71,25 @@
         }
     }
 
+    describe("a refusal without a request id") {
+        // Callers received the refusal of another request.
+        it("is not taken for the response to the next request when its target repeats it late") {
+            val refused = AtomicReference<Socket>()
+            val refusing = TargetBehaviour { _, connection ->
+                connection.getOutputStream().writeText(REFUSAL_WITHOUT_ID)
+                refused.set(connection)
+            }
+            val repeating = TargetBehaviour { request, connection ->
+                val copy = if (connection === refused.get()) REFUSAL_WITHOUT_ID else ""
+                connection.getOutputStream().writeText(copy + responseTo(request))
+            }
+            postTwice(targetOf(refusing, repeating)) { first, second ->
+                first.status shouldBe 400
+                second.status shouldBe 200
+            }
+        }
+    }
+
     describe("the response to a HEAD request") {
         // The announced length of a body that does not follow must not be waited for.
         it("ends with its head") {
