Send an order to an engine on a connection of its own

What callers saw: an order could end as done or refused without being so, and was decided again only after its lease or the backoff.

Cause: orders shared kept connections with status reads and cache events, and a response was taken for an order's by its place. A repetition of a status was read as "done".

Evidence, on the code before (TargetControlClientSpec, a target that repeats the response to a status read): expected:<STALE> but was:<DONE>

Change: an order connects anew and closes its connection. Status reads and cache events keep theirs: by reading the code, a repeated status is as old as the one before, and repeated cache events have no new effect.

Result: the test passes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/targets/TargetControlClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/targets/TargetControlClient.kt
@@ -72,7 +72,7 @@
 
     /**
      * Sends an order unless its deadline has passed, for example because the process was paused: by then another instance
-     * may have sent a later order.
+     * may have sent a later order. The order uses its own connection, so that its response cannot be a repetition of an earlier one.
      */
     private fun sendOrder(effect: SendOrder) {
         if (clock.now() >= effect.deadline) {
@@ -80,7 +80,7 @@
         }
         val body = json.encodeToString(TargetOrder.serializer(), effect.order).encodeToByteArray()
         val headers = mapOf("Content-Type" to "application/json")
-        val request = PlatformRequest(HttpMethod.POST, "/orders", body, headers, effect.deadline - clock.now())
+        val request = PlatformRequest(HttpMethod.POST, "/orders", body, headers, effect.deadline - clock.now(), usesOwnConnection = true)
         client.send(effect.target.address, request) { result ->
             submit(OrderAnswered(effect.target.id, LogOffset(effect.order.fencing), outcomeOf(result)))
         }
