Fail a response whose head holds the beginning of another response

Callers could see: 503 with the promise that a filing had not run, which had run up to four times. Cause: a head that breaks off within a header's value is joined by the decoder to the response that follows: the status and Not-Executed are of the one, the id is of the other. Class of fault: two messages read as one. Evidence: JoinedHeadSpec, two of three cases failed before: expected:<502> but was:<503>. Change: a status line within a reason phrase or a header's value breaks the connection; the request may have run. Result: JoinedHeadSpec, RepeatedRefusalSpec, TruncatedHeadSpec and CopiedRefusalSpec pass.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -89,6 +89,7 @@
                 if (++informationalResponses > MAX_INFORMATIONAL_RESPONSES) fail(context, "too many informational responses")
                 return
             }
+            if (holdsStatusLine(message)) return fail(context, "a response within the head of another")
             when (receiver.onHead(message)) {
                 ResponseOwner.THIS_REQUEST -> {
                     inResponse = true
@@ -110,6 +111,10 @@
         skippedBytes = 0
     }
 
+    /** Whether a head that broke off was joined to the next response, so that it holds parts of two. */
+    private fun holdsStatusLine(response: HttpResponse): Boolean =
+        STATUS_LINE_START in response.status().reasonPhrase() || response.headers().any { (_, value) -> STATUS_LINE_START in value }
+
     private fun isInformational(response: HttpResponse) = response.status().code().let { it in INFORMATIONAL && it != SWITCHING_PROTOCOLS }
 
     private fun readContent(context: ChannelHandlerContext, message: HttpContent, receiver: TargetResponseListener) {
@@ -158,6 +163,9 @@
     }
 
     private companion object {
+        /** What every status line begins with. */
+        const val STATUS_LINE_START = "HTTP/1."
+
         /** The status codes of informational responses, which precede the final response. */
         val INFORMATIONAL = 100..199
 
