--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -434,7 +434,9 @@
             head.status in SUCCESS && !head.isSigned -> SendFailure.BROKEN
             else -> null
         }
-        if (failure == SendFailure.FAILED && !observer.hasStreamBegun && !isUnpromisedRefusal(head)) return observer.targetFailed(this, httpResponse, head.status, body)
+        if (failure == SendFailure.FAILED && !observer.hasStreamBegun && !isUnpromisedRefusal(head)) {
+            return observer.targetFailed(this, httpResponse, head.status, body)
+        }
         if (failure == SendFailure.NOT_RUN_OTHER_TARGET) handleMisdirected(head)
         if (failure != null || observer.hasStreamBegun) {
             body.release()
