--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -140,8 +140,17 @@
     override fun recordChanged(record: KeyedRecord) = true
 }
 
-/** A simulation, in virtual time, of instances whose datagrams arrive immediately. */
-internal class ExchangeSimulation(size: Int, zones: Int, private val random: Random = Random(1)) {
+/**
+ * A simulation, in virtual time, of instances whose datagrams arrive immediately. The last [joining] instances are down and have not
+ * announced themselves until they [join][SimulatedInstance.join].
+ */
+internal class ExchangeSimulation(
+    size: Int,
+    zones: Int,
+    private val random: Random = Random(1),
+    private val bounds: FleetBounds = FleetBounds(),
+    joining: Int = 0,
+) {
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private val loop = channel.eventLoop()
     var now = MonotonicTime.ZERO + 100_000.milliseconds
@@ -150,6 +159,7 @@
     private val members = (0 until size).map {
         FleetMember(InstanceId("i-$it"), InstanceIncarnation(1), ZoneName("zone-${it % zones}"), "10.0.0.$it:1", "10.0.0.$it:2")
     }
+    private val announced = members.dropLast(joining).toMutableList()
     val registryLog = RegistryLog()
     val instances = members.map { SimulatedInstance(it) }
     private val byAddress = instances.associateBy { HostAndPort.parse(it.member.peerAddress) }
@@ -166,11 +176,14 @@
     /** The share of all datagrams that are lost. */
     var lossRate = 0.0
 
+    /** Whether all datagrams between zones are lost. */
+    var areZonesCut = false
+
     private var ticks = 0
 
     inner class SimulatedInstance(val member: FleetMember) {
         /** Whether the instance neither sends nor receives datagrams. */
-        var isDown = false
+        var isDown = member !in announced
 
         /** Whether datagrams to and from the instance are lost. */
         var losesDatagrams = false
@@ -185,7 +198,7 @@
 
         /** What a restart of the instance replaces. */
         private inner class Parts {
-            val state = ForwardingState(member, FleetBounds(), now)
+            val state = ForwardingState(member, bounds, now)
             val context = ForwardingContext(
                 loop,
                 clock,
@@ -206,7 +219,7 @@
                 }
 
             init {
-                members.forEach(state.fleet::recordAnnouncement)
+                announced.forEach(state.fleet::recordAnnouncement)
                 state.fleet.selfServes = true
                 registry.onRead = exchange::registryWasRead
             }
@@ -218,6 +231,13 @@
             registry.read()
         }
 
+        /** Starts an instance that is new to the fleet. */
+        fun join() {
+            announced += member
+            isDown = false
+            restart()
+        }
+
         /** Whether the instance would send requests to the target [id]. */
         fun uses(id: String): Boolean = state.directory[TargetId(id)]?.isLeaving == false
     }
@@ -228,7 +248,8 @@
         total++
         if (to.member.zone != from.member.zone) crossZone++
         recordsSent += message.digest?.relayedRanges.orEmpty().sumOf { it.records.size }
-        val isLost = to.isDown || to.losesDatagrams || from.losesDatagrams || random.nextDouble() < lossRate
+        val isCut = areZonesCut && to.member.zone != from.member.zone
+        val isLost = to.isDown || to.losesDatagrams || from.losesDatagrams || isCut || random.nextDouble() < lossRate
         if (!isLost) to.exchange.receive(message)
     }
 
@@ -269,8 +290,15 @@
     }
 }
 
-internal fun <T> simulate(size: Int, zones: Int = 4, random: Random = Random(1), action: ExchangeSimulation.() -> T): T =
-    ExchangeSimulation(size, zones, random).run {
+internal fun <T> simulate(
+    size: Int,
+    zones: Int = 4,
+    random: Random = Random(1),
+    bounds: FleetBounds = FleetBounds(),
+    joining: Int = 0,
+    action: ExchangeSimulation.() -> T,
+): T =
+    ExchangeSimulation(size, zones, random, bounds, joining).run {
         try {
             action()
         } finally {
