Divide the retry budget among the whole fleet, for every pool

Cause: an instance's part of the budget of a pool was that of a fleet of 8 until another instance became live after the pool's first request, and after that it was divided among the instances heard from at that moment. With 80 instances and a slack of 200 each held 20 instead of 2.

The size now follows the fleet whenever the budget is used: an equal part among all instances that ever announced themselves or were heard from, since one that is not heard from may still serve callers. Until an instance has read its own announcement, which comes after all earlier ones, it holds one repeat at most. MIN_FLEET_SIZE, the size of a deployment, is gone.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -46,9 +46,19 @@
     /** Whether this instance serves requests; it is reported to callers and peers. */
     public var selfServes: Boolean = false
 
+    /**
+     * Whether the announcement of this instance has been read from the store. It comes after those of all instances that started
+     * earlier, so that these are known too.
+     */
+    public var isAnnounced: Boolean = false
+        private set
+
     /** Records that [member] has announced itself in the store. */
     public fun recordAnnouncement(member: FleetMember) {
-        if (member.id == self.id) return
+        if (member.id == self.id) {
+            isAnnounced = true
+            return
+        }
         val known = peers[member.id]
         when {
             known == null -> peers[member.id] = Peer(member)
@@ -84,6 +94,9 @@
     /** All instances that ever announced themselves or were heard from. */
     public val known: List<FleetMember> get() = peers.values.map { it.member }
 
+    /** The number of instances that ever announced themselves or were heard from, this one included. */
+    public val size: Int get() = peers.size + 1
+
     /** Whether the fleet is too large for each instance to send everything to all others. */
     public val isLarge: Boolean get() = peers.size >= MAX_MESH_PEERS
 
--- a/core/src/main/kotlin/org/cactuspulley/core/requests/RetryBudget.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/requests/RetryBudget.kt
@@ -1,17 +1,21 @@
 package org.cactuspulley.core.requests
 
 /**
- * A token bucket that limits retries to a fraction of the traffic, so that failures can't multiply the load.
+ * A token bucket that limits retries to a fraction of the traffic, so that failures can't multiply the load. It starts full.
  *
  * @param fraction the number of retries that each new request adds.
- * @param burst the maximum number of retries that the budget holds; the budget starts full.
+ * @param burst returns the maximum number of retries that the budget holds at present; any excess is lost.
  */
-public class RetryBudget(private val fraction: Double, private var burst: Double) {
-    private var availableRetries = burst
+public class RetryBudget(private val fraction: Double, private val burst: () -> Double) {
+    private var heldRetries = burst()
+    private val availableRetries: Double get() = minOf(heldRetries, burst())
+
+    /** Creates a budget whose maximum number of retries is always [burst]. */
+    public constructor(fraction: Double, burst: Double) : this(fraction, { burst })
 
     /** Adds the credit of a new request. */
     public fun credit() {
-        availableRetries = minOf(burst, availableRetries + fraction)
+        heldRetries = minOf(burst(), availableRetries + fraction)
     }
 
     /** Whether the budget holds at least one retry. */
@@ -20,13 +24,7 @@
     /** Takes one retry from the budget. Returns false if less than one is left. */
     public fun tryTake(): Boolean {
         if (!hasRetry) return false
-        availableRetries -= 1.0
+        heldRetries = availableRetries - 1.0
         return true
     }
-
-    /** Sets the maximum number of retries that the budget holds and drops any excess. */
-    public fun resize(newBurst: Double) {
-        burst = newBurst
-        availableRetries = availableRetries.coerceAtMost(newBurst)
-    }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -270,7 +270,6 @@
         val hasLostStore = state.fleet.reachesStore(peer) && !digest.reachesStore
         if (state.fleet.recordContact(member, digest.serves, digest.reachesStore, at, isRelayed)) {
             context.log.event("peer_live", "peer" to peer.text)
-            state.resizeRetryBudgets(now)
         }
         if (isNew(peer, digest.incarnation, digest.sequence)) {
             newestDigests[peer] =
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -75,13 +75,13 @@
 
     /** Returns this instance's retry budget for [pool]. */
     fun retryBudget(pool: PoolName): RetryBudget =
-        retryBudgets.getOrPut(pool) { RetryBudget(bounds.retryRatio * BUDGET_SHARE, bounds.retrySlack * BUDGET_SHARE / MIN_FLEET_SIZE) }
+        retryBudgets.getOrPut(pool) { RetryBudget(bounds.retryRatio * BUDGET_SHARE, ::retryBurst) }
 
-    /** Divides the retry slack of each pool among the live instances. */
-    fun resizeRetryBudgets(now: MonotonicTime) {
-        val instances = (fleet.live(now).size + 1).coerceAtLeast(MIN_FLEET_SIZE)
-        retryBudgets.values.forEach { it.resize(maxOf(1.0, bounds.retrySlack * BUDGET_SHARE / instances)) }
-    }
+    /**
+     * The number of retries that this instance may hold for each pool: an equal part of what the fleet may. Instances that this one
+     * does not hear from have theirs too, because they may still serve callers.
+     */
+    private fun retryBurst(): Double = if (fleet.isAnnounced) maxOf(1.0, bounds.retrySlack * BUDGET_SHARE / fleet.size) else 1.0
 
     /** Applies [configuration] unless it is older than the current one; returns whether it was applied. */
     fun configure(configuration: ForwardingConfiguration, now: MonotonicTime): Boolean {
@@ -116,11 +116,5 @@
 
         /** The share of a window's units that the refill provides; the rest is the capacity, which admits several large prompts at once. */
         const val REFILL_SHARE = 0.9
-
-        /**
-         * The minimum number of instances among which a budget is divided: the size of the largest initial deployment. Larger shares
-         * would add up to more than the whole budget when further instances join.
-         */
-        const val MIN_FLEET_SIZE = 8
     }
 }
