Start an instance with a small part of the retry budget

Callers' requests were repeated more than the fleet is allowed to (rule BUDGET) after restarts while targets failed. Cause: the budget of each incarnation started full, so that a fleet that restarted had its whole budget again within one window.

A pool's first request now finds an equal part of a third of the slack's unused fifth, so that all instances may start three times in a window. When a window has passed since the start of the process, nothing that an earlier incarnation used is in it, and the first request of a pool finds a full part. An instance that does not know its fleet yet starts with nothing. Requests fill the budget as before. The length of the window comes from the platform's bounds.

New tests show that a fleet of up to 3 may still repeat its first request at once, and that an instance without its fleet may not.

Price: a restarted instance earns its part by requests and gives up some requests that it would have repeated.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -84,7 +84,7 @@
     /** Authorizes the request, charges it to the workspace's token bucket and starts the first attempt. */
     fun start() {
         grant = state.authorizer.authorize(request).getOrElse { refusal -> return refuseEarly(refusal, RETRY_AFTER_UNCONFIGURED) }
-        progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool), serviceTimes)
+        progress = RequestProgress(grant, request.deadline, arrivedAt, state.retryBudget(grant.pool, arrivedAt), serviceTimes)
         if (context.plannedStop?.refuses(progress.deadline, serviceTimes.totalLimit(arrivedAt), arrivedAt) ?: false) {
             return refuseEarly(ForwardingRefusal.STOPPING, RETRY_AFTER_STOPPING)
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -20,6 +20,7 @@
 import org.cactuspulley.core.requests.RetryBudget
 import org.cactuspulley.runtime.settings.FleetBounds
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The state of one forwarding instance; confined to its event loop. */
 internal class ForwardingState(self: FleetMember, private val bounds: FleetBounds, private val startedAt: MonotonicTime) {
@@ -73,15 +74,28 @@
         workspace: WorkspaceId,
     ): ReplicatedTokenBucket? = authorizer.configuration?.workspaces?.get(workspace)?.let(::tokenBucket)
 
-    /** Returns this instance's retry budget for [pool]. */
-    fun retryBudget(pool: PoolName): RetryBudget =
-        retryBudgets.getOrPut(pool) { RetryBudget(bounds.retryRatio * BUDGET_SHARE, ::retryBurst) }
+    /** Returns this instance's retry budget for [pool], which is created for the pool's first request. */
+    fun retryBudget(pool: PoolName, now: MonotonicTime): RetryBudget =
+        retryBudgets.getOrPut(pool) { RetryBudget(bounds.retryRatio * BUDGET_SHARE, initialRetries(now), ::retryBurst) }
 
     /**
      * The number of retries that this instance may hold for each pool: an equal part of what the fleet may. Instances that this one
      * does not hear from have theirs too, because they may still serve callers.
      */
-    private fun retryBurst(): Double = if (fleet.isAnnounced) maxOf(1.0, bounds.retrySlack * BUDGET_SHARE / fleet.size) else 1.0
+    private fun retryBurst(): Double = if (fleet.isAnnounced) maxOf(1.0, retryShare(BUDGET_SHARE)) else 1.0
+
+    /**
+     * Returns the number of retries that this instance holds for a pool at its first request. Before a window has passed since the start,
+     * the instance may have used up its part of the fleet's retries in an earlier incarnation.
+     */
+    private fun initialRetries(now: MonotonicTime): Double = when {
+        !fleet.isAnnounced -> 0.0
+        now - startedAt < bounds.retryWindowSeconds.seconds -> retryShare((1 - BUDGET_SHARE) / MAX_STARTS_PER_WINDOW)
+        else -> retryBurst()
+    }
+
+    /** Returns this instance's equal part of [share] of the fleet's retry slack. */
+    private fun retryShare(share: Double): Double = bounds.retrySlack * share / fleet.size
 
     /** Applies [configuration] unless it is older than the current one; returns whether it was applied. */
     fun configure(configuration: ForwardingConfiguration, now: MonotonicTime): Boolean {
@@ -111,9 +125,12 @@
         /** The time after its start in which an instance reads the configuration, unless the store fails. */
         val STARTUP_TIME = 2_000.milliseconds
 
-        /** The share of the fleet's retry budget that is used; the rest covers windows during which the traffic changes. */
+        /** The share of the fleet's retry budget that is used; the rest is for instances that start and for late arrivals. */
         const val BUDGET_SHARE = 0.8
 
+        /** How often all instances may start within a window without exceeding the budget; a start takes seconds. */
+        const val MAX_STARTS_PER_WINDOW = 3
+
         /** The share of a window's units that the refill provides; the rest is the capacity, which admits several large prompts at once. */
         const val REFILL_SHARE = 0.9
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -48,6 +48,7 @@
  *
  * @property retryRatio the ratio of allowed retries to requests, for each pool.
  * @property retrySlack the number of retries that are allowed in addition to [retryRatio].
+ * @property retryWindowSeconds the length of the window over which retries are counted, in seconds.
  * @property rateWindowSeconds the length of the window over which rate limits are measured, in seconds.
  * @property rateOvershoot the fraction by which a rate limit may be exceeded within the window.
  * @property rateSlackTokens the number of tokens by which a rate limit may be exceeded in addition to [rateOvershoot].
@@ -58,6 +59,7 @@
 public data class FleetBounds(
     @SerialName("retry_ratio") @Serializable(LenientDoubleSerializer::class) val retryRatio: Double = 0.2,
     @SerialName("retry_slack") @Serializable(LenientDoubleSerializer::class) val retrySlack: Double = 50.0,
+    @SerialName("retry_window_seconds") @Serializable(LenientDoubleSerializer::class) val retryWindowSeconds: Double = 10.0,
     @SerialName("rate_window_seconds") @Serializable(LenientDoubleSerializer::class) val rateWindowSeconds: Double = 8.0,
     @SerialName("rate_overshoot") @Serializable(LenientDoubleSerializer::class) val rateOvershoot: Double = 0.1,
     @SerialName("rate_slack_tokens") @Serializable(LenientDoubleSerializer::class) val rateSlackTokens: Double = 0.0,
@@ -81,6 +83,7 @@
     val ranges = listOf(
         Triple("bounds.retry_ratio", bounds.retryRatio, 0.0..1.0),
         Triple("bounds.retry_slack", bounds.retrySlack, 0.0..1e6),
+        Triple("bounds.retry_window_seconds", bounds.retryWindowSeconds, 0.1..3_600.0),
         Triple("bounds.rate_window_seconds", bounds.rateWindowSeconds, 0.1..3_600.0),
         Triple("bounds.rate_overshoot", bounds.rateOvershoot, 0.0..1.0),
         Triple("bounds.rate_slack_tokens", bounds.rateSlackTokens, 0.0..1e12),
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/FleetRetryBudgetSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/FleetRetryBudgetSpec.kt
@@ -1,7 +1,9 @@
 package org.cactuspulley.runtime.forwarding
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.ForwardingGrant
 import org.cactuspulley.core.forwarding.ForwardingRoute
 import org.cactuspulley.core.forwarding.NextStep
@@ -10,10 +12,13 @@
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.ServiceTimes
 import org.cactuspulley.core.forwarding.WeightedPool
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.InstanceIncarnation
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.RouteName
 import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.runtime.settings.FleetBounds
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -88,7 +93,7 @@
     private fun send() {
         requests += now
         val instance = simulation.instances.filterNot { it.isDown }.random(random)
-        val progress = RequestProgress(grant, null, now, instance.state.retryBudget(POOL), serviceTimes)
+        val progress = RequestProgress(grant, null, now, instance.state.retryBudget(POOL, now), serviceTimes)
         progress.recordSent()
         if (areTargetsFull) refused(progress)
     }
@@ -200,4 +205,31 @@
             } shouldBe emptyList()
         }
     }
+
+    describe("the retry budget of an instance") {
+        fun ForwardingState.repeats(
+            now: MonotonicTime,
+        ): Int = retryBudget(POOL, now).let { budget -> generateSequence { budget.tryTake() }.takeWhile { it }.count() }
+
+        // Guards against first requests that are given up though the fleet has used none of its budget.
+        for (size in 1..3) {
+            it("allows a repeat of the first request after the start of a fleet of $size") {
+                simulate(size) { instances.first().state.repeats(now) shouldBeGreaterThan 0 }
+            }
+        }
+
+        it("is full for the first request of a pool when a window has passed since the start") {
+            simulate(7, bounds = FleetBounds(retrySlack = 54.0)) {
+                val state = instances.first().state
+                state.repeats(now + WINDOW) shouldBe 6
+                state.retryBudget(PoolName("other"), now).hasRetry shouldBe false
+            }
+        }
+
+        // Guards against instances that each take themselves for the whole fleet.
+        it("allows no repeat before the instance knows its fleet") {
+            val member = FleetMember(InstanceId("i-1"), InstanceIncarnation(1), ZoneName("zone-a"), "10.0.0.1:1", "10.0.0.1:2")
+            ForwardingState(member, FleetBounds(), MonotonicTime.ZERO).repeats(MonotonicTime.ZERO) shouldBe 0
+        }
+    }
 })
