Keep waiting repeats in the retry budget until they are sent

Callers' requests were repeated more than the fleet is allowed to (rule BUDGET) when targets accepted requests again for which repeats had waited. Cause: a repeat was taken from the budget when it was decided on. While it waited for a target, for up to the request's deadline, the budget filled again, so that the window in which the waiting repeats were sent had those and a full budget.

A repeat is now reserved when it is decided on, and a reserved one counts as held: the budget earns no other in its place. A request that ends before it is sent again returns its repeat, which was lost before, and one that finds no connection keeps it instead of taking another.

The interface for the product's own router takes its retries as before, since it has no limit by windows.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
@@ -64,6 +64,7 @@
     private val tried = LinkedHashSet<TargetId>()
     private var sentAttemptCount = 0
     private var possibleRuns = 0
+    private var hasReservedRetry = false
 
     /** The time by which the request must have ended. */
     public val deadline: MonotonicTime = (arrivedAt + grant.route.timeout).let {
@@ -127,6 +128,8 @@
     /** Records that an attempt has a connection and sends the request. */
     public fun recordSent() {
         if (sentAttemptCount == 0) retryBudget.credit()
+        if (hasReservedRetry) retryBudget.useReserved()
+        hasReservedRetry = false
         sentAttemptCount++
     }
 
@@ -150,12 +153,23 @@
                 ForwardingRefusal.TARGET_FAILED,
             )
 
-            sentAttemptCount > 0 && !retryBudget.tryTake() -> giveUp(ForwardingRefusal.REPEATS_EXHAUSTED, ForwardingRefusal.TARGET_FAILED)
+            sentAttemptCount > 0 && !reserveRetry() -> giveUp(ForwardingRefusal.REPEATS_EXHAUSTED, ForwardingRefusal.TARGET_FAILED)
 
             else -> NextStep.Retry
         }
     }
 
+    private fun reserveRetry(): Boolean {
+        if (!hasReservedRetry) hasReservedRetry = retryBudget.tryReserve()
+        return hasReservedRetry
+    }
+
+    /** Records that the request is not sent any more; other requests may have the retry that it did not use. */
+    public fun recordEnd() {
+        if (hasReservedRetry) retryBudget.returnReserved()
+        hasReservedRetry = false
+    }
+
     /**
      * Ends the request because no target can accept it in time; [arePaused] is whether the targets have asked this instance to send
      * nothing. Another instance may then serve the caller immediately.
--- a/core/src/main/kotlin/org/cactuspulley/core/requests/RetryBudget.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/requests/RetryBudget.kt
@@ -9,23 +9,43 @@
  */
 public class RetryBudget(private val fraction: Double, initialRetries: Double, private val burst: () -> Double) {
     private var heldRetries = initialRetries
-    private val availableRetries: Double get() = minOf(heldRetries, burst())
+    private var reservedRetries = 0
+    private val availableRetries: Double get() = minOf(heldRetries, burst() - reservedRetries)
 
     /** Creates a budget that starts full and whose maximum number of retries is always [burst]. */
     public constructor(fraction: Double, burst: Double) : this(fraction, burst, { burst })
 
     /** Adds the credit of a new request. */
     public fun credit() {
-        heldRetries = minOf(burst(), availableRetries + fraction)
+        heldRetries = minOf(burst() - reservedRetries, availableRetries + fraction)
     }
 
-    /** Whether the budget holds at least one retry. */
+    /** Whether the budget holds at least one retry that is not reserved. */
     public val hasRetry: Boolean get() = availableRetries >= 1.0
 
-    /** Takes one retry from the budget. Returns false if less than one is left. */
-    public fun tryTake(): Boolean {
+    /** Takes one retry from the budget, which is sent immediately. Returns false if less than one is left. */
+    public fun tryTake(): Boolean = tryReserve().also { if (it) useReserved() }
+
+    /**
+     * Reserves one retry that is sent later, if at all. Returns false if less than one is left. Until it is used, the budget earns no
+     * other in its place, so that retries that have waited don't come on top of a full budget.
+     */
+    public fun tryReserve(): Boolean {
         if (!hasRetry) return false
         heldRetries = availableRetries - 1.0
+        reservedRetries++
         return true
     }
+
+    /** Takes a reserved retry from the budget, because it is sent. */
+    public fun useReserved() {
+        check(reservedRetries > 0) { "no retry is reserved" }
+        reservedRetries--
+    }
+
+    /** Returns a reserved retry to the budget, because it won't be sent. */
+    public fun returnReserved() {
+        useReserved()
+        heldRetries += 1.0
+    }
 }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
@@ -92,6 +92,38 @@
             next.shouldBeInstanceOf<NextStep.GiveUp>().refusal shouldBe ForwardingRefusal.REPEATS_EXHAUSTED
         }
 
+        // Guards against repeats that wait and then come on top of those that the budget has earned meanwhile.
+        it("keeps its place in the retry budget while it waits to be sent again") {
+            val budget = RetryBudget(1.0, 1.0)
+            val waiting = progress(Repeatability.FROM_START, budget = budget)
+            waiting.recordSent()
+            waiting.recordFailure(TargetId("t-1"), SendFailure.NOT_RUN_FULL, START) shouldBe NextStep.Retry
+            budget.credit()
+            budget.hasRetry shouldBe false
+            waiting.recordSent()
+            budget.credit()
+            budget.hasRetry shouldBe true
+        }
+
+        it("takes one retry from the budget however many targets it can't reach before it is sent again") {
+            val budget = RetryBudget(0.0, 1.0)
+            val progress = progress(Repeatability.FROM_START, budget = budget)
+            progress.recordSent()
+            progress.recordFailure(TargetId("t-1"), SendFailure.NOT_RUN_FULL, START) shouldBe NextStep.Retry
+            progress.recordFailure(TargetId("t-2"), SendFailure.UNREACHABLE, START) shouldBe NextStep.Retry
+            progress.recordFailure(TargetId("t-3"), SendFailure.NOT_SENT, START) shouldBe NextStep.Retry
+        }
+
+        // Guards against retries that are lost to the fleet because a request ended before it was sent again.
+        it("returns the retry that it has not used when it ends") {
+            val budget = RetryBudget(0.0, 1.0)
+            val progress = progress(Repeatability.FROM_START, budget = budget)
+            progress.recordSent()
+            progress.recordFailure(TargetId("t-1"), SendFailure.NOT_RUN_FULL, START) shouldBe NextStep.Retry
+            progress.recordEnd()
+            budget.hasRetry shouldBe true
+        }
+
         it("takes nothing from the retry budget if no target was reached") {
             val progress = progress(Repeatability.FROM_START, budget = RetryBudget(0.0, 0.5))
             progress.recordFailure(TargetId("t-1"), SendFailure.UNREACHABLE, START) shouldBe NextStep.Retry
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -276,6 +276,7 @@
 
     private fun finish() {
         ended = true
+        if (::progress.isInitialized) progress.recordEnd()
         deadlineTimer?.cancel(false)
         context.exchanges.remove(this)
     }
