Keep the rate limits that targets name, over all instances together

Callers saw a target that was in need get many times the requests per second that it had named in its responses, from instances that had passed these responses on. The header was not read, and nothing divided such a limit among instances.

A response's limit is now read (`Server-Limit`, only from heads that answer the attempt's own request) and divided without coordination: the first N + 2 serving instances in a rendezvous order for the target own equal parts of the limit N, as token buckets that start empty and hold N + 2 tokens together; the others send nothing. In any 4 s the target gets at most 5 N + 2 of the 6 N + 5 requests that are allowed; the rest covers moments in which instances disagree about who is live. Every attempt needs a token: first sends, retries, resumed streams, last resorts. It is given back if nothing is sent, and expires after half a second without a connection. Digests tell what an instance's own responses said, so that all follow a limit that is named, changed or lifted; an owner whose newest word is older than two seconds asks the target again.

A request waits for a token if it gets one in time after those that already wait. Otherwise it is refused at once as not run, and the callers that are refused return at times that the limit can serve.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -26,6 +26,9 @@
     val linkMegabits: Double = 0.0,
 )
 
+/** The [rank] of this instance, 0 for the first, among [size] instances. */
+public data class FleetPosition(val rank: Int, val size: Int)
+
 /** Tracks the other instances and whether they are live and serving, by their announcements and messages. */
 public class FleetView(private val self: FleetMember, private val livenessTimeout: Duration = LIVENESS_TIMEOUT) {
     private class Peer(var member: FleetMember) {
@@ -153,6 +156,17 @@
         return peers.values.count { it.reachesStore && isLive(it, now) && rendezvousWeight(subject, it.member.id.text) > own }
     }
 
+    /**
+     * Returns the position of this instance, in an order determined by [subject], among the live instances that serve callers; null if
+     * it does not serve them itself.
+     */
+    public fun servingPosition(subject: String, now: MonotonicTime): FleetPosition? {
+        if (!selfServes) return null
+        val own = rendezvousWeight(subject, self.id.text)
+        val serving = peers.values.filter { it.serves && isLive(it, now) }
+        return FleetPosition(serving.count { rendezvousWeight(subject, it.member.id.text) > own }, serving.size + 1)
+    }
+
     /**
      * Returns whether this instance should read the store itself, because it is among the first [STORE_READERS] of
      * the instances that reach the store. The others learn of changes from the readers, so that the number of reads
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
@@ -14,6 +14,9 @@
     /** The target stopped accepting requests while the connection was established, so nothing was sent. */
     NOT_SENT,
 
+    /** The rate limit of the target left no room when the connection was established, so nothing was sent. */
+    RATE_LIMITED,
+
     /** The target is full and guarantees that the request did not run. */
     NOT_RUN_FULL,
 
@@ -135,10 +138,13 @@
 
     /** Records that the attempt at [target] ended with [failure] and decides what to do next. */
     public fun recordFailure(target: TargetId, failure: SendFailure, now: MonotonicTime): NextStep {
-        // A full target may have room again while the request still has time.
-        if (failure != SendFailure.NOT_RUN_FULL) tried += target
+        // A full or limited target may have room again while the request still has time.
+        if (failure != SendFailure.NOT_RUN_FULL && failure != SendFailure.RATE_LIMITED) tried += target
         when (failure) {
-            SendFailure.UNREACHABLE, SendFailure.NOT_SENT, SendFailure.NOT_RUN_FULL, SendFailure.NOT_RUN_OTHER_TARGET -> Unit
+            SendFailure.UNREACHABLE, SendFailure.NOT_SENT, SendFailure.RATE_LIMITED, SendFailure.NOT_RUN_FULL,
+            SendFailure.NOT_RUN_OTHER_TARGET,
+            -> Unit
+
             SendFailure.BROKEN, SendFailure.SILENT, SendFailure.FAILED, SendFailure.WITHDRAWN -> possibleRuns++
         }
         return when {
@@ -172,11 +178,13 @@
 
     /**
      * Ends the request because no target can accept it in time; [arePaused] is whether the targets have asked this instance to send
-     * nothing. Another instance may then serve the caller immediately.
+     * nothing. Another instance may then serve the caller immediately. [returnDelay] is the time after which the caller can be served
+     * within the rate limits of the targets; null if they do not bind.
      */
-    public fun noTarget(arePaused: Boolean = false): NextStep.GiveUp {
+    public fun noTarget(arePaused: Boolean = false, returnDelay: Duration? = null): NextStep.GiveUp {
         val step = giveUp(ForwardingRefusal.NO_TARGET, ForwardingRefusal.TARGET_FAILED)
-        return if (step.retryAfter != null && arePaused) step.copy(retryAfter = RETRY_AFTER_ELSEWHERE) else step
+        if (step.retryAfter == null) return step
+        return step.copy(retryAfter = returnDelay ?: if (arePaused) RETRY_AFTER_ELSEWHERE else step.retryAfter)
     }
 
     /** Ends the request because it can't be completed by its deadline. */
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetHealth.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetHealth.kt
@@ -54,7 +54,7 @@
 
             SendFailure.NOT_RUN_FULL -> excludedUntil = maxOf(excludedUntil ?: now, now + FULL_TARGET_EXCLUSION)
 
-            SendFailure.NOT_SENT, SendFailure.NOT_RUN_OTHER_TARGET, SendFailure.WITHDRAWN -> Unit
+            SendFailure.NOT_SENT, SendFailure.RATE_LIMITED, SendFailure.NOT_RUN_OTHER_TARGET, SendFailure.WITHDRAWN -> Unit
         }
     }
 
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -7,6 +7,7 @@
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.core.model.rendezvousRank
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /**
  * The constraints and preferences for selecting a target.
@@ -39,8 +40,14 @@
     /** All targets have failed the request, or could not be reached for it. */
     public data object AllTried : Availability
 
-    /** A target may accept it at [time], when it is no longer excluded or has had the pause that it asked for. */
-    public data class From(val time: MonotonicTime) : Availability
+    /** The rate limits of all targets that could leave this instance no share; other instances may serve the request immediately. */
+    public data object Elsewhere : Availability
+
+    /**
+     * A target may accept it at [time], when it is no longer excluded, has had the pause that it asked for, or is [limitedTarget] and its
+     * rate limit permits one more request.
+     */
+    public data class From(val time: MonotonicTime, val limitedTarget: TargetId? = null) : Availability
 }
 
 /**
@@ -54,16 +61,19 @@
 public class TargetSelector(
     private val directory: TargetDirectory,
     private val zone: ZoneName,
+    private val rateLimits: TargetRateLimits,
     private val random: Random = Random.Default,
 ) {
     /** Returns the target for [criteria], or null if no target can accept the request now. */
     public fun select(criteria: SelectionCriteria, now: MonotonicTime): Target? {
-        val eligible = directory.members(criteria.grant.pool).filter { isEligible(it, criteria, now) && !it.isPaused(now) }
+        val eligible = directory.members(criteria.grant.pool)
+            .filter { isEligible(it, criteria, now) && !it.isPaused(now) && rateLimits.admits(it, now) }
         if (eligible.isEmpty()) return null
         val healthy = eligible.filterNot { it.health.isExcluded(now) }
         if (healthy.isEmpty()) return if (criteria.isLastResort) eligible.minBy { it.health.excludedUntil ?: now } else null
+        val notLoading = if (criteria.prompt == null) healthy else healthy.filterNot { isLoading(it, now) }.ifEmpty { healthy }
+        notLoading.firstOrNull { rateLimits.isUnconfirmed(it, now) && hasPreferredWeights(it, criteria, now) }?.let { return it }
         val prompt = criteria.prompt ?: return leastLoaded(healthy, now)
-        val notLoading = healthy.filterNot { isLoading(it, now) }.ifEmpty { healthy }
         return byAffinity(notLoading, prompt.model, criteria, now)
     }
 
@@ -83,7 +93,29 @@
         if (fitting.isEmpty()) return Availability.Unknown
         val untried = fitting.filterNot { it.id in criteria.excluded }
         if (untried.isEmpty()) return Availability.AllTried
-        return Availability.From(untried.minOf { it.acceptsFrom(now) })
+        val (target, time) = untried.mapNotNull { target -> acceptsFrom(target, now)?.let { target to it } }.minByOrNull { it.second }
+            ?: return Availability.Elsewhere
+        return Availability.From(time, target.id.takeIf { rateLimits.limit(target) != null })
+    }
+
+    private fun acceptsFrom(target: Target, now: MonotonicTime): MonotonicTime? =
+        rateLimits.availableFrom(target, now)?.let { maxOf(it, target.acceptsFrom(now)) }
+
+    /**
+     * Returns the mean time between two requests to [pool] that an instance may send while the rate limits of its targets hold; null if
+     * some target has no limit.
+     */
+    public fun limitedInterval(pool: PoolName, now: MonotonicTime): Duration? {
+        val targets = directory.members(pool).filterNot { it.isLeaving }
+        val limits = targets.map { rateLimits.limit(it) ?: return null }
+        if (limits.isEmpty()) return null
+        return rateLimits.interval(limits.sum(), now)
+    }
+
+    private fun hasPreferredWeights(target: Target, criteria: SelectionCriteria, now: MonotonicTime): Boolean {
+        val preferred = criteria.preferredWeights ?: return true
+        val model = criteria.prompt?.model ?: return true
+        return (target.probableWeights(model, now) ?: 0) >= preferred
     }
 
     private fun isEligible(target: Target, criteria: SelectionCriteria, now: MonotonicTime): Boolean {
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ForwardingFixtures.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ForwardingFixtures.kt
@@ -1,5 +1,7 @@
 package org.cactuspulley.core.forwarding
 
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.InstanceIncarnation
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.PoolName
@@ -70,6 +72,9 @@
 internal fun prompt(subject: Long = 7, own: Int = 100) =
     PromptDescription(MODEL, 1_000 + own, 50, listOf(PromptPiece(1, 500), PromptPiece(subject, 500), PromptPiece(999, own)))
 
+internal fun fleetMember(id: String) =
+    FleetMember(InstanceId(id), InstanceIncarnation(1), ZoneName("zone-a"), "$id:1", "$id:2")
+
 internal fun grant(route: ForwardingRoute = route(), workspace: WorkspaceDescription? = workspace()) =
     ForwardingGrant(route, POOL, workspace, cost = 100.0, configurationVersion = 1)
 
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetSelectorSpec.kt
@@ -12,7 +12,8 @@
 class TargetSelectorSpec : DescribeSpec({
     fun directory(count: Int = 8) = TargetDirectory().apply { (1..count).forEach { upsert(entry("t-$it")) } }
 
-    fun selector(directory: TargetDirectory, seed: Int = 1) = TargetSelector(directory, ZoneName("zone-a"), Random(seed))
+    fun selector(directory: TargetDirectory, seed: Int = 1) =
+        TargetSelector(directory, ZoneName("zone-a"), TargetRateLimits(FleetView(fleetMember("i-1"))), Random(seed))
 
     fun criteria(subject: Long, excluded: Set<TargetId> = emptySet(), minimum: Long? = null, preferred: Long? = null) =
         SelectionCriteria(grant(), prompt(subject), excluded, minimum, preferred)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -9,6 +9,7 @@
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.WorkspaceDescription
 import org.cactuspulley.core.model.RequestId
+import org.cactuspulley.core.model.TargetId
 import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger("decisions")
@@ -57,6 +58,18 @@
         )
     }
 
+    /** Records that a request waits because of the rate limit of [target]. */
+    fun heldForRateLimit(request: ForwardedRequest, target: TargetId) {
+        metrics.heldForRateLimit()
+        write("held_for_rate_limit", "request" to request.id.text, "target" to target.text)
+    }
+
+    /** Records that a request is refused because of the rate limits of targets; its caller may return after [returnDelay]. */
+    fun refusedForRateLimit(request: ForwardedRequest, returnDelay: Duration?) {
+        metrics.refusedForRateLimit()
+        write("refused_for_rate_limit", "request" to request.id.text, "returnMillis" to returnDelay?.inWholeMilliseconds)
+    }
+
     /** Records that a request's [cost] exceeded the units [available] to the workspace. */
     fun overRate(request: ForwardedRequest, workspace: WorkspaceDescription, cost: Double, available: Double) {
         write(
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -220,6 +220,7 @@
             soundPieces = context.pieceQuarantine.soundNotices(now),
             pieceQuarantines = context.pieceQuarantine.quarantineNotices(now),
             leaving = context.leavingTargets.notices(now),
+            limits = context.rateLimits.notices(now),
         )
     }
 
@@ -302,6 +303,7 @@
         digest.crashes.forEach { state.crashes.add(it, at) }
         context.pieceQuarantine.receive(peer, digest, at)
         context.leavingTargets.receive(peer.text, digest.leaving)
+        context.rateLimits.receive(peer.text, digest.limits, at)
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -45,6 +45,7 @@
  * @property soundPieces the suspected pieces that the instance recently found sound.
  * @property pieceQuarantines the quarantines of pieces that hold at the instance.
  * @property leaving the targets that told the instance recently that they are leaving.
+ * @property limits the rate limits that targets named to the instance, or lifted.
  * @property relayedRanges the records that the instance relays to the receiver.
  */
 @Serializable
@@ -74,6 +75,7 @@
     val soundPieces: List<SoundPieceNotice> = emptyList(),
     val pieceQuarantines: List<PieceQuarantineNotice> = emptyList(),
     val leaving: List<LeavingTarget> = emptyList(),
+    val limits: List<TargetLimitNotice> = emptyList(),
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
 )
 
@@ -172,6 +174,23 @@
 @CborArray
 internal data class LeavingTarget(val target: String, val startedAtMillis: Long)
 
+/**
+ * What the responses of a target told an instance about the target's rate limit.
+ *
+ * @property startedAtMillis the start of the target, in Unix milliseconds.
+ * @property requestsPerSecond the requests per second that the target takes from all instances together; null if it lifted its limit.
+ * @property ageMillis the time since the target said so, in milliseconds.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class TargetLimitNotice(
+    val target: String,
+    val startedAtMillis: Long,
+    val requestsPerSecond: Double?,
+    val ageMillis: Long,
+)
+
 /** The [version] of a model's weights that an instance has observed at [target]. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -18,6 +18,7 @@
 import org.cactuspulley.core.forwarding.Urgency
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.quarantine.CrashNotice
 import org.cactuspulley.core.quarantine.Fingerprint
 import org.cactuspulley.core.quarantine.QuarantineVerdict
@@ -72,6 +73,7 @@
     private var charged = 0.0
     private var currentAttempt: SendAttempt? = null
     private var ended = false
+    private var isHeldForRateLimit = false
 
     override var lastEventId: Long? = request.lastEventId
         private set
@@ -155,18 +157,33 @@
         val availability = state.selector.availability(criteria, now)
         val isWaiting = now < latestStart && when (availability) {
             Availability.Unknown -> true
-            Availability.AllTried -> false
+            Availability.AllTried, Availability.Elsewhere -> false
             is Availability.From -> availability.time <= latestStart
         }
+        val limitedTarget = (availability as? Availability.From)?.limitedTarget
         if (isWaiting) {
+            limitedTarget?.let(::holdForRateLimit)
             context.waiting.add(Urgency(grant.priority, latestStart), ::startAttempt)
             return null
         }
         val lastResort = state.selector.select(criteria.copy(isLastResort = true), now)
-        if (lastResort == null) giveUp(progress.noTarget(arePaused = availability is Availability.From))
+        if (lastResort == null) refuseWithoutTarget(availability, now)
         return lastResort
     }
 
+    private fun holdForRateLimit(target: TargetId) {
+        state.rateLimits.reserve(target)
+        if (!isHeldForRateLimit) log.heldForRateLimit(request, target)
+        isHeldForRateLimit = true
+    }
+
+    private fun refuseWithoutTarget(availability: Availability, now: MonotonicTime) {
+        val isLimited = availability == Availability.Elsewhere || (availability as? Availability.From)?.limitedTarget != null
+        val returnDelay = if (isLimited && !progress.mayHaveRun) state.returnDelay(grant.pool, now) else null
+        if (isLimited) log.refusedForRateLimit(request, returnDelay)
+        giveUp(progress.noTarget(arePaused = availability is Availability.From || availability == Availability.Elsewhere, returnDelay))
+    }
+
     override fun canBeSentElsewhere(attempt: SendAttempt): Boolean {
         val now = context.clock.now()
         if (ended || !progress.mayRepeatAfterSilence(now)) return false
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -46,8 +46,13 @@
     /** What targets say in their responses about leaving. */
     val leavingTargets = LeavingTargetExchange(this)
 
+    /** What targets say in their responses about their rate limits. */
+    val rateLimits = RateLimitExchange(this)
+
     /** The requests that wait for a target. */
-    val waiting = WaitingRequests({ delay, action -> schedule(delay, action) }, { loop.execute(it) })
+    val waiting = WaitingRequests({ delay, action -> schedule(delay, action) }, { loop.execute(it) }) {
+        state.rateLimits.clearReservations()
+    }
 
     /** The memory of the responses that are held until they are complete. */
     val responseMemory = BufferMemory(MAX_RESPONSE_BYTES, MAX_RESPONSES_BYTES)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -19,6 +19,7 @@
         .classicUpperBounds(0.01, 0.05, 0.25, 1.0, 4.0).classicOnly().withoutExemplars().register(registry)
     private val refusals = counter("cactuspulley_refusals_total", "Requests that got no answer of a target", "cause")
     private val failedAttempts = counter("cactuspulley_failed_sends_total", "Sends that ended without a deliverable answer", "cause")
+    private val rateLimited = counter("cactuspulley_rate_limited_total", "Requests affected by the rate limits of targets", "outcome")
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
 
     private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
@@ -37,6 +38,12 @@
 
     fun attemptFailed(cause: String) = failedAttempts.labelValues(cause).inc()
 
+    /** Counts a request that waits for the rate limit of a target. */
+    fun heldForRateLimit() = rateLimited.labelValues("held").inc()
+
+    /** Counts a request that is refused because of the rate limits of targets. */
+    fun refusedForRateLimit() = rateLimited.labelValues("refused").inc()
+
     fun configured(version: Long) = configurationVersion.set(version.toDouble())
 
     fun event(name: String) = events.labelValues(name).inc()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
@@ -85,6 +85,9 @@
  * @property isLeaving whether the responding target says that it is shutting down.
  * @property retryAfter for how long the responding target, which turned the request away, wants no requests from this instance;
  *    null if the response does not say.
+ * @property requestsPerSecond the requests per second that the responding target takes from all instances together; null if the response
+ *    names no limit that can be read.
+ * @property isRateLimitUnreadable whether the response names a limit that can't be read, so that it does not show that there is none.
  * @property idleTimeout how long the target keeps an idle connection open; null if the response does not say.
  * @property isSigned whether the response carries the target's signature; a success without it is treated as broken.
  */
@@ -99,6 +102,8 @@
     val weights: Long?,
     val isLeaving: Boolean,
     val retryAfter: Duration?,
+    val requestsPerSecond: Double?,
+    val isRateLimitUnreadable: Boolean,
     val idleTimeout: Duration?,
     val isSigned: Boolean,
 )
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -7,8 +7,10 @@
 import org.cactuspulley.core.forwarding.ForwardingConfiguration
 import org.cactuspulley.core.forwarding.ReplicatedTokenBucket
 import org.cactuspulley.core.forwarding.RequestAuthorizer
+import org.cactuspulley.core.forwarding.ReturnSchedule
 import org.cactuspulley.core.forwarding.ServiceTimesRegistry
 import org.cactuspulley.core.forwarding.TargetDirectory
+import org.cactuspulley.core.forwarding.TargetRateLimits
 import org.cactuspulley.core.forwarding.TargetSelector
 import org.cactuspulley.core.forwarding.TokenBucketLimit
 import org.cactuspulley.core.forwarding.WeightsLimits
@@ -19,6 +21,7 @@
 import org.cactuspulley.core.quarantine.CrashTracker
 import org.cactuspulley.core.requests.RetryBudget
 import org.cactuspulley.runtime.settings.FleetBounds
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -30,12 +33,15 @@
     /** The targets of the registry with their load and health. */
     val directory = TargetDirectory()
 
-    /** Selects a target for each attempt. */
-    val selector = TargetSelector(directory, self.zone)
-
     /** The instances of the fleet. */
     val fleet = FleetView(self)
 
+    /** The rate limits of the targets. */
+    val rateLimits = TargetRateLimits(fleet)
+
+    /** Selects a target for each attempt. */
+    val selector = TargetSelector(directory, self.zone, rateLimits)
+
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
 
@@ -52,6 +58,7 @@
     val weightsLimits = WeightsLimits(bounds.startLimitMillis.milliseconds)
     private val tokenBuckets = HashMap<WorkspaceId, ReplicatedTokenBucket>()
     private val retryBudgets = HashMap<PoolName, RetryBudget>()
+    private val returnSchedules = HashMap<PoolName, ReturnSchedule>()
 
     /**
      * Returns whether a request should wait until its [deadline], because this instance has just started and is about to read its first
@@ -94,6 +101,13 @@
         else -> retryBurst()
     }
 
+    /**
+     * Returns after which time a caller should return that is refused at [now] because no target of [pool] accepts its request; null if
+     * rate limits are not the reason.
+     */
+    fun returnDelay(pool: PoolName, now: MonotonicTime): Duration? =
+        selector.limitedInterval(pool, now)?.let { returnSchedules.getOrPut(pool, ::ReturnSchedule).delay(it, now) }
+
     /** Returns this instance's equal part of [share] of the fleet's retry slack. */
     private fun retryShare(share: Double): Double = bounds.retrySlack * share / fleet.size
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -10,6 +10,7 @@
 import org.cactuspulley.core.forwarding.CachePlan
 import org.cactuspulley.core.forwarding.ForwardedRequest
 import org.cactuspulley.core.forwarding.ForwardingGrant
+import org.cactuspulley.core.forwarding.RateLimitAdmission
 import org.cactuspulley.core.forwarding.Repeatability
 import org.cactuspulley.core.forwarding.ReportedLoad
 import org.cactuspulley.core.forwarding.RequestProgress
@@ -125,6 +126,9 @@
     private var longestPause = Duration.ZERO
     private var lastEventsAt: MonotonicTime? = null
 
+    /** The permission of the target's rate limit to send the request. */
+    private var admission: RateLimitAdmission = RateLimitAdmission.Denied
+
     /** The load that this attempt adds to its target, in the units of [TargetLoad]. */
     var units = TargetLoad.unitsUntilFirstEvent(
         request.prompt,
@@ -161,6 +165,7 @@
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
         target.load.add(units)
+        admission = state.rateLimits.admit(target, startedAt)
         context.connections.acquire(target.id, address, request.id) { channel ->
             // After a delay of the event loop, the caller may have disconnected already without that having been read.
             if (context.loopDelay.isDelayed(context.clock.now())) {
@@ -186,6 +191,12 @@
             close()
             return observer.failed(this, SendFailure.NOT_SENT, "the target no longer accepts requests")
         }
+        admission = state.rateLimits.renew(target, admission, context.clock.now())
+        if (admission == RateLimitAdmission.Denied) {
+            releaseUnused(connection)
+            close()
+            return observer.failed(this, SendFailure.RATE_LIMITED, "the rate limit of the target leaves no room")
+        }
         channel = connection
         val handler = connection.pipeline().get(TargetResponseHandler::class.java)
         handler.assign(this)
@@ -319,6 +330,11 @@
 
     private fun recordAvailability(head: TargetResponseHead) {
         if (head.isLeaving) context.leavingTargets.observed(target)
+        // A refusal may be the late copy of an earlier one, from before the target named its limit.
+        val saysNoLimit = !head.isRateLimitUnreadable && !head.notRun && head.status < SERVER_ERROR
+        if (head.requestsPerSecond != null || saysNoLimit) {
+            context.rateLimits.observed(target, head.requestsPerSecond, sentAt, lastActivityAt)
+        }
         val pause = head.retryAfter ?: return
         state.directory.pause(target, lastActivityAt + pause)
         log.event("target_paused", "target" to target.id.text, "request" to request.id.text, "millis" to pause.inWholeMilliseconds)
@@ -516,6 +532,7 @@
         if (isClosed) return
         isClosed = true
         endSilence()
+        if (!isWritten) state.rateLimits.giveBack(admission)
         target.load.add(-units)
         silenceTimer?.cancel(false)
         memory.resize(0)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/WaitingRequests.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/WaitingRequests.kt
@@ -11,6 +11,7 @@
 internal class WaitingRequests(
     private val schedule: (Duration, () -> Unit) -> Unit,
     private val execute: (() -> Unit) -> Unit,
+    private val beforeRetries: () -> Unit = {},
 ) {
     private class Waiting(val urgency: Urgency, val retry: () -> Unit)
 
@@ -25,6 +26,7 @@
     private fun retryAll() {
         val due = waiting
         waiting = mutableListOf()
+        beforeRetries()
         // Each runs as a task of its own, so that one that fails does not end the wait of the others.
         due.sortedBy { it.urgency }.forEach { execute(it.retry) }
     }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -195,6 +195,7 @@
         val registry: TargetRegistry get() = parts.registry
         val exchange: DigestExchange get() = parts.exchange
         val leavingTargets: LeavingTargetExchange get() = parts.context.leavingTargets
+        val rateLimits: RateLimitExchange get() = parts.context.rateLimits
 
         /** What a restart of the instance replaces. */
         private inner class Parts {
