--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -418,7 +418,7 @@
     }
 
     private fun releaseOrClose(connection: Channel, httpResponse: HttpResponse, head: TargetResponseHead) {
-        if (head.status !in SUCCESS) connection.pipeline().get(TargetResponseHandler::class.java).refusedRequests += request.id
+        if (head.status !in SUCCESS || head.notRun) context.connections.recordRefusal(connection, request.id)
         if (bodyWritten && isTargetStaying && context.isReusable(httpResponse)) {
             context.connections.release(target.id, connection, head.idleTimeout)
         } else {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPool.kt
@@ -38,6 +38,11 @@
         if (kept != null) onReady(kept) else connector.connect(address, onReady)
     }
 
+    /** Records that [request] was answered on [channel] without success, so that it is not sent over it again. */
+    fun recordRefusal(channel: Channel, request: RequestId) {
+        channel.pipeline().get(TargetResponseHandler::class.java).refusedRequests += request
+    }
+
     /** Checks whether [target] at [address] accepts a new connection, and pools it for the next request. */
     fun probe(target: TargetId, address: HostAndPort, done: (Boolean) -> Unit) = connector.connect(address) { channel ->
         channel?.let { release(target, it, null) }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPoolSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/TargetConnectionPoolSpec.kt
@@ -33,7 +33,7 @@
 
     /** Returns [channel] to the pool after [requests] were refused on it. */
     fun releaseAfterRefusal(channel: Channel, vararg requests: String) {
-        channel.pipeline().get(TargetResponseHandler::class.java).refusedRequests += requests.map(::RequestId)
+        requests.forEach { pool.recordRefusal(channel, RequestId(it)) }
         pool.release(TARGET, channel, null)
         loopChannel.runPendingTasks()
     }
