Move the watch for silent targets out of SendAttempt

No behaviour changes. SilentTargetSpec, PausedStreamSpec, SendAttemptSpec, ForwardingSpec, ResumedStreamSpec and others pass.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -15,15 +15,12 @@
 import org.cactuspulley.core.forwarding.ReportedLoad
 import org.cactuspulley.core.forwarding.RequestProgress
 import org.cactuspulley.core.forwarding.SendFailure
-import org.cactuspulley.core.forwarding.SilenceAction
 import org.cactuspulley.core.forwarding.Target
 import org.cactuspulley.core.forwarding.TargetLoad
 import org.cactuspulley.core.model.AttemptId
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.runtime.platform.HostAndPort
-import java.util.concurrent.Future
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * A caller's request and what the configuration grants it.
@@ -84,7 +81,8 @@
     private val granted: GrantedRequest,
     private val progress: RequestProgress,
     val target: Target,
-) : TargetResponseListener {
+) : TargetResponseListener,
+    WatchedAttempt {
     private val state = context.state
     private val log = context.log
     private val request = granted.request
@@ -100,14 +98,7 @@
     private var bodyBuffer: ByteBuf = Unpooled.EMPTY_BUFFER
     private var events: EventStreamSplitter? = null
     private val memory = context.responseMemory.Share()
-    private var silenceTimer: Future<*>? = null
     private var isClosed = false
-
-    /** Whether the health of the target counts this attempt as silent. */
-    private var isSilent = false
-
-    /** Whether the silence of the target has made this attempt check whether the target is responsive. */
-    private var hasChecked = false
     private var bodyWritten = false
     private var hasContent = false
     private var cachePlan: CachePlan? = null
@@ -116,11 +107,10 @@
     /** When the request was written to a connection; the start of the attempt before that. */
     private var sentAt = startedAt
 
-    /** When the target last sent data of this attempt; [sentAt] before that. */
-    private var lastActivityAt = startedAt
+    private val silence = SilenceWatch(context, target, request.id, this)
 
-    /** Whether reading is paused, because the caller reads slowly. */
-    private var isReadingPaused = false
+    /** When the target last sent data of this attempt; [sentAt] before that. */
+    private val lastActivityAt: MonotonicTime get() = silence.lastActivityAt
 
     /** The longest time between two arrivals of events. */
     private var longestPause = Duration.ZERO
@@ -203,7 +193,7 @@
         requestsOnConnection = handler.requestCount
         progress.recordSent()
         write(connection)
-        scheduleSilenceCheck(address)
+        silence.start(address)
     }
 
     private fun releaseUnused(connection: Channel) {
@@ -216,7 +206,6 @@
     private fun write(connection: Channel) {
         val now = context.clock.now()
         sentAt = now
-        lastActivityAt = now
         // A connection that has failed silently ends with the probes. Others may outlast an interruption of the network, so that a
         // request that can't be sent again still gets its response.
         connection.config().setOption(ChannelOption.SO_KEEPALIVE, grant.route.repeatability == Repeatability.RESUMABLE)
@@ -239,77 +228,22 @@
             .addListener { if (it.isSuccess) bodyWritten = true }
     }
 
-    /** The time after which the attempt, or the pause of its stream, is unusually long. */
-    private fun silenceLimit(now: MonotonicTime): Duration = if (events == null) progress.silenceLimit(now) else progress.pauseLimit(now)
-
     /** Whether the attempt has received nothing for unusually long. */
-    val isUnusuallySlow: Boolean
-        get() = context.clock.now().let { now -> now - lastActivityAt >= silenceLimit(now) }
-
-    private fun scheduleSilenceCheck(address: HostAndPort, delay: Duration = silenceLimit(context.clock.now())) {
-        silenceTimer = context.schedule(delay) { checkSilence(address) }
-    }
-
-    /**
-     * Handles a target that has been silent for unusually long. If another one can take the request over, this attempt fails, but a
-     * target that has sent nothing of a stream is checked first, since another one has to read the prompt again. Otherwise the
-     * attempt goes on, because its response may still arrive.
-     */
-    private fun checkSilence(address: HostAndPort) {
-        if (isClosed) return
-        val now = context.clock.now()
-        val limit = silenceLimit(now)
-        if (isReadingPaused) return scheduleSilenceCheck(address, limit)
-        val silentFor = now - maxOf(lastActivityAt, activityForOthers() ?: lastActivityAt)
-        if (silentFor < limit) return scheduleSilenceCheck(address, limit - silentFor + TIMER_MARGIN)
-        val isStreamAwaited = grant.route.isStream && events == null
-        if ((hasChecked || !isStreamAwaited) && observer.canBeSentElsewhere(this)) return failSilent("no sign for $silentFor")
-        if (!hasChecked) {
-            hasChecked = true
-            checkIfUnresponsive(address)
-        }
-        if (!isClosed) scheduleSilenceCheck(address, limit)
-    }
+    val isUnusuallySlow: Boolean get() = silence.isUnusuallyLong
 
-    /** Checks a target that has sent nothing since this attempt started, and excludes an unresponsive one. */
-    private fun checkIfUnresponsive(address: HostAndPort) {
-        val lastActivity = target.lastReceivedAt
-        if (lastActivity != null && lastActivity > startedAt) return
-        isSilent = true
-        when (target.health.recordSilentAttempt(context.clock.now())) {
-            SilenceAction.EXCLUDE -> excludeUnresponsive("silent to several")
-            SilenceAction.PROBE -> probe(address)
-            SilenceAction.WAIT -> Unit
-        }
-    }
+    override val isStream: Boolean get() = grant.route.isStream
+    override val isResponseBegun: Boolean get() = hasResponse
+    override val isStreamBegun: Boolean get() = events != null
 
-    private fun probe(address: HostAndPort) = context.connections.probe(target.id, address) { reachable ->
-        if (!reachable) excludeUnresponsive("no connection")
-    }
+    override fun silenceLimit(now: MonotonicTime): Duration = if (events == null) progress.silenceLimit(now) else progress.pauseLimit(now)
 
-    /**
-     * Excludes the target, because it is unresponsive, and closes its idle connections, which may be broken. If the request may be
-     * retried, this attempt fails, so that another target gets the request immediately.
-     */
-    private fun excludeUnresponsive(reason: String) {
-        target.health.markUnresponsive(context.clock.now())
-        context.connections.drop(target.id)
-        log.event("target_suspected", "target" to target.id.text, "request" to request.id.text, "reason" to reason)
-        context.scheduleDigest()
-        if (!isClosed && !hasResponse && observer.canBeSentElsewhere(this)) failSilent("target unresponsive: $reason")
-    }
+    override fun canBeSentElsewhere(): Boolean = observer.canBeSentElsewhere(this)
 
-    private fun failSilent(reason: String) {
+    override fun failSilent(reason: String) {
         cancel(null)
         observer.failed(this, SendFailure.SILENT, reason)
     }
 
-    /**
-     * When the target last sent anything to this instance since this attempt started. On a stream route, such a target is slow rather
-     * than unresponsive: its queue advances, or it has preempted the run, which goes on when memory is free.
-     */
-    private fun activityForOthers(): MonotonicTime? = target.lastReceivedAt?.takeIf { grant.route.isStream && it > startedAt }
-
     override fun onHead(response: HttpResponse): ResponseOwner {
         val head = context.targetProtocol.responseHead(response)
         val owner = head.request ?: return ResponseOwner.UNKNOWN
@@ -319,7 +253,7 @@
         }
         responseHead = head
         this.response = response
-        recordActivity()
+        silence.recordActivity()
         if (!grant.route.isStream && head.status in SUCCESS) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
         if (!head.isOtherTarget) recordAvailability(head)
@@ -340,17 +274,6 @@
         log.event("target_paused", "target" to target.id.text, "request" to request.id.text, "millis" to pause.inWholeMilliseconds)
     }
 
-    private fun recordActivity() {
-        endSilence()
-        lastActivityAt = context.clock.now()
-        target.lastReceivedAt = lastActivityAt
-    }
-
-    private fun endSilence() {
-        if (isSilent) target.health.silentAttemptEnded()
-        isSilent = false
-    }
-
     private fun beginStream(response: HttpResponse) {
         events = EventStreamSplitter(context.allocator)
         observer.streamBegan(response)
@@ -358,7 +281,7 @@
 
     override fun onContent(content: ByteBuf) {
         hasContent = true
-        recordActivity()
+        silence.recordActivity()
         if (observer.isEnded) return
         val stream = events
         if (stream == null) {
@@ -509,8 +432,7 @@
 
     /** Pauses or resumes reading from the target; a pause of reading is no silence of the target. */
     fun pause(paused: Boolean) {
-        if (isReadingPaused && !paused) lastActivityAt = context.clock.now()
-        isReadingPaused = paused
+        silence.pause(paused)
         channel?.config()?.isAutoRead = !paused
     }
 
@@ -531,10 +453,9 @@
     private fun close() {
         if (isClosed) return
         isClosed = true
-        endSilence()
+        silence.end()
         if (!isWritten) state.rateLimits.giveBack(admission)
         target.load.add(-units)
-        silenceTimer?.cancel(false)
         memory.resize(0)
         observer.closed(this)
         events?.release()
@@ -547,8 +468,5 @@
         /** The status codes that begin or continue a stream: all successes but 204 and 205, which have no content. */
         val STREAM_SUCCESS = SUCCESS.toSet() - setOf(204, 205)
         const val SERVER_ERROR = 500
-
-        /** Added to the delay of a rescheduled silence check, so that the timeout has passed when it runs. */
-        val TIMER_MARGIN = 2.milliseconds
     }
 }
