Log what a claim of the right to order weights rests on

The logs could not tell why an instance took the right to order weights from another: `claim` showed the answer only. `claim_read` now tells whose claim the store holds, since when its holder has not been heard from and how many peers are live; `claim_heard` tells of a peer's claim and of the own token that it ends; `weights_ordered` has the time that the answer took. No logic changes.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -152,12 +152,17 @@
     public val nextDeadline: MonotonicTime?
         get() = updates.values.mapNotNull { it.nextReportAt }.fold(claimRetryAt, ::earliest)
 
-    /** Records that [peer] reports to hold the claim with [peerToken]; a claim older than one already known is ignored. */
-    public fun recordPeerClaim(peer: InstanceId, peerToken: Long) {
-        if (peerToken < newestToken) return
+    /**
+     * Records that [peer] reports to hold the claim with [peerToken]; a claim older than one already known is ignored. Returns whether
+     * the claim was not known before.
+     */
+    public fun recordPeerClaim(peer: InstanceId, peerToken: Long): Boolean {
+        if (peerToken < newestToken) return false
+        val isNew = peerToken > newestToken || holder != peer
         newestToken = peerToken
         holder = peer
         if ((fencingToken ?: peerToken) < peerToken) releaseClaim()
+        return isNew
     }
 
     /** Advances the rollout and returns the actions to perform at [now]. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -279,7 +279,7 @@
         }
         // The store may leave all of its regular readers without an answer and still answer other instances.
         if (hasLostStore && state.fleet.isStoreChecker(now)) operations.read()
-        digest.claimFence?.let { rollout.recordPeerClaim(peer, it) }
+        digest.claimFence?.let { recordPeerClaim(peer, it) }
         digest.relayedRanges.forEach { applyRelayed(peer, it, now) }
         // The relayed records may hold the versions.
         digest.namedWeights.forEach {
@@ -310,6 +310,12 @@
         digest.shownWeights.forEach { state.directory[TargetId(it.target)]?.recordWeights(ModelName(it.model), it.version) }
     }
 
+    private fun recordPeerClaim(peer: InstanceId, token: Long) {
+        val ownToken = rollout.fencingToken
+        if (!rollout.recordPeerClaim(peer, token)) return
+        context.log.event("claim_heard", "holder" to peer.text, "fence" to token, "ownFence" to ownToken)
+    }
+
     private fun applyRelayed(peer: InstanceId, range: RelayedRange, now: MonotonicTime) {
         when (range.topic) {
             StoreTopic.OPERATIONS -> operations.applyRelayed(range, now)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -70,10 +70,19 @@
     private fun appendClaim(batch: RecordBatch) {
         val currentClaim = batch.records.firstOrNull { it.key == CLAIM_KEY }?.value?.let(::decodeClaim)
         val now = context.clock.now()
-        if (currentClaim != null && currentClaim.holder != ownClaim.holder &&
-            context.state.fleet.isLive(InstanceId(currentClaim.holder), now)
-        ) {
-            return claimAnswered(ClaimAnswer.Lost(InstanceId(currentClaim.holder)))
+        val currentHolder = currentClaim?.let { InstanceId(it.holder) }
+        val lastContactAt = currentHolder?.let { context.state.fleet.lastContactAt(it) }
+        context.log.event(
+            "claim_read",
+            "holder" to currentHolder?.text,
+            "incarnation" to currentClaim?.incarnation,
+            "end" to batch.next,
+            "contactMillis" to lastContactAt?.let { (now - it).inWholeMilliseconds },
+            "knownHolder" to rollout.holder?.text,
+            "livePeers" to context.state.fleet.live(now).size,
+        )
+        if (currentHolder != null && currentHolder.text != ownClaim.holder && context.state.fleet.isLive(currentHolder, now)) {
+            return claimAnswered(ClaimAnswer.Lost(currentHolder))
         }
         store.append(StoreTopic.CLAIMS, CLAIM_KEY, Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim), batch.next) { appended ->
             claimAnswered(
@@ -111,13 +120,14 @@
 
     private fun sendOrder(action: RolloutAction.Order) {
         val target = context.state.directory[action.target]
-        if (target == null) return orderAnswered(action, OrderAnswer.UNANSWERED)
+        val sentAt = context.clock.now()
+        if (target == null) return orderAnswered(action, OrderAnswer.UNANSWERED, sentAt)
         control.order(target.entry, action.weights, InstanceId(ownClaim.holder), action.fencingToken, action.ordersAccepted, action.runs) {
-            orderAnswered(action, it)
+            orderAnswered(action, it, sentAt)
         }
     }
 
-    private fun orderAnswered(action: RolloutAction.Order, answer: OrderAnswer) {
+    private fun orderAnswered(action: RolloutAction.Order, answer: OrderAnswer, sentAt: MonotonicTime) {
         context.log.event(
             "weights_ordered",
             "target" to action.target.text,
@@ -126,6 +136,7 @@
             "fence" to action.fencingToken,
             "runs" to action.runs.name,
             "answer" to answer.name,
+            "millis" to (context.clock.now() - sentAt).inWholeMilliseconds,
         )
         rollout.onOrderAnswer(action.target, answer, context.clock.now())
         advance()
