Hold the right to order weights by a lease that rests on the store alone

Cause: the right had no end of its own. A holder stopped when it heard of its successor; a successor went by what it alone had heard of the holder, 1.3 s if it did not know the claim, 3 s from the last digest otherwise. So a holder whose event loop stood still went on beside its successor, an instance that had not heard of a claim took it from a live holder, and the lease began before the holder's last order.

A claim now permits orders for a third of the lease, counted from before the call that appends it, and the holder renews it by another record while a rollout runs. An order is sent only if it arrives within that time; that is checked again when its connection stands, and a call without an answer by then resets its connection. Another instance appends a claim only after it has known the newest record for the term and a whole lease, under the condition that no record has followed. So whatever is lost, late or standing still, the last order of one holder arrives a lease before the first of the next. The wall clock is a second deadline, as the steady clock does not count the time for which a machine is suspended.

--- /dev/null
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
@@ -0,0 +1,166 @@
+/*
+ * The right to issue orders to targets. One instance of the fleet holds it at a time, by a claim in the platform's store that it renews.
+ *
+ * Only the store decides who holds the right. A holder stops at a deadline of its own, which counts from before it called the store.
+ * Another instance may claim the right once it has known the newest claim of the store for so long that the last order of that claim
+ * has reached its target and a whole lease has passed since. News from peers only makes claims known earlier.
+ */
+package org.cactuspulley.core.forwarding
+
+import org.cactuspulley.core.model.InstanceId
+import org.cactuspulley.core.model.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The result of a call that appends a claim. */
+public sealed interface ClaimAnswer {
+    /**
+     * This instance may issue orders with the fencing token [fence]; the call was made at [calledAt]. The log shows the names of the
+     * properties.
+     */
+    public data class Granted(val fence: Long, val calledAt: MonotonicTime) : ClaimAnswer
+
+    /** The claim was not made, because the store has another one that this instance did not know or may not replace yet. */
+    public data object Lost : ClaimAnswer
+
+    /** The store did not answer; the claim may have been made or may be made later. */
+    public data object Unknown : ClaimAnswer
+}
+
+/** The right to send orders with [fencingToken] before [sendDeadline]. */
+public data class OrderRight(val fencingToken: Long, val sendDeadline: MonotonicTime)
+
+/** Decides when an instance claims the right to issue orders and how long it holds it; confined to one thread. */
+public class OrderLease(private val self: InstanceId, private val fleet: FleetView, private val settings: RolloutSettings) {
+    /** The newest known claim; [holder] is null if its record can't be read. Other instances may replace it from [replaceableAt] on. */
+    private data class KnownClaim(val holder: InstanceId?, val token: Long, val replaceableAt: MonotonicTime)
+
+    private var newest: KnownClaim? = null
+    private var isClaiming = false
+
+    /** Whether the newest claim has to be read from the store before the next one is appended. */
+    private var mustRead = true
+
+    /** Whether [claimAt] includes this instance's delay by its rank. */
+    private var isStaggered = false
+
+    /** The earliest time at which the claim is made or renewed; null if it is not limited. */
+    private var claimAt: MonotonicTime? = null
+
+    /** The fencing token of this instance's last claim; null if it has made none, or if a newer claim is known. */
+    public var fencingToken: Long? = null
+        private set
+
+    private var right: OrderRight? = null
+
+    /** The instance that made the newest known claim; null if it is not known. */
+    public val holder: InstanceId? get() = newest?.holder
+
+    /** The time at which [claim] has something to do next; null if it waits for an answer or for nothing. */
+    public val nextDeadline: MonotonicTime? get() = claimAt.takeIf { !isClaiming }
+
+    /** Returns the right of this instance to send an order at [now]; null if it has none. */
+    public fun right(now: MonotonicTime): OrderRight? = right?.takeIf { now < it.sendDeadline }
+
+    /** Returns whether this instance may send an order at [now]. */
+    public fun isHeld(now: MonotonicTime): Boolean = right(now) != null
+
+    /** Returns whether this instance may append a claim at [now], as far as the known claims are concerned. */
+    public fun mayClaim(now: MonotonicTime): Boolean = newest?.let { it.holder == self || now >= it.replaceableAt } ?: true
+
+    /**
+     * Records a claim that the store or a peer showed at [now]; [holder] is null if its record can't be read. Returns whether the claim
+     * is newer than all known ones.
+     */
+    public fun recordClaim(holder: InstanceId?, token: Long, now: MonotonicTime): Boolean {
+        if (token <= (newest?.token ?: 0)) return false
+        newest = KnownClaim(holder, token, now + settings.takeoverDelay)
+        release()
+        return true
+    }
+
+    /**
+     * Returns the claim to make or to renew at [now], or null if there is none. [isStopping] tells that the instance shuts down, which
+     * lets it renew a claim but not make one.
+     */
+    public fun claim(now: MonotonicTime, isStopping: Boolean): RolloutAction.Claim? {
+        if (isClaiming || claimAt?.let { now < it } ?: false) return null
+        if (!isHeld(now) && (isStopping || !isDue(now))) return null
+        isClaiming = true
+        isStaggered = false
+        claimAt = null
+        return RolloutAction.Claim(fencingToken.takeIf { !mustRead })
+    }
+
+    /** The last holder continues at once. The others wait until its claim may be replaced, and then by rank. */
+    private fun isDue(now: MonotonicTime): Boolean {
+        val current = newest?.takeIf { now < it.replaceableAt }
+        if (current?.holder == self || (current == null && isStaggered)) return true
+        val dueAt = (current?.replaceableAt ?: now) + CLAIM_STAGGER * fleet.rank(CLAIM_SUBJECT, now)
+        isStaggered = true
+        claimAt = dueAt
+        return now >= dueAt
+    }
+
+    /** Handles the result of a claim that arrived at [now]. */
+    public fun onClaimAnswer(answer: ClaimAnswer, now: MonotonicTime) {
+        isClaiming = false
+        when (answer) {
+            is ClaimAnswer.Granted -> {
+                if (answer.fence <= (newest?.token ?: 0)) return retry(now)
+                newest = KnownClaim(self, answer.fence, now + settings.takeoverDelay)
+                mustRead = false
+                fencingToken = answer.fence
+                right = OrderRight(answer.fence, answer.calledAt + settings.claimTerm - settings.orderTimeout)
+                claimAt = answer.calledAt + settings.claimTerm * RENEWAL_FRACTION
+            }
+
+            ClaimAnswer.Lost -> {
+                if (fencingToken != null) release()
+                retry(now)
+            }
+
+            ClaimAnswer.Unknown -> retry(now)
+        }
+    }
+
+    private fun retry(now: MonotonicTime) {
+        mustRead = true
+        isStaggered = true
+        claimAt = now + CLAIM_RETRY_DELAY
+    }
+
+    /** Gives up the claim of this instance; the next one begins with a read of the store. */
+    public fun release() {
+        fencingToken = null
+        right = null
+        mustRead = true
+        isStaggered = false
+        claimAt = null
+    }
+
+    /** Gives up the claim of this instance, because a target refused its token at [now]. */
+    public fun onFenced(now: MonotonicTime) {
+        release()
+        retry(now)
+    }
+
+    /** Ends all waiting, because there is nothing to order. A claim is not renewed then. */
+    public fun rest() {
+        claimAt = null
+        isStaggered = false
+    }
+
+    private companion object {
+        const val CLAIM_SUBJECT = "weight-rollout"
+
+        /** The time per rank by which an instance delays its claim, so that an instance with a better rank can claim first. */
+        val CLAIM_STAGGER = 500.milliseconds
+
+        /** The delay before the next claim if one was lost or the store did not answer. */
+        val CLAIM_RETRY_DELAY: Duration = 500.milliseconds
+
+        /** The part of a claim's term after which it is renewed; a second renewal fits into the term if the first is slow. */
+        const val RENEWAL_FRACTION = 0.3
+    }
+}
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -1,6 +1,6 @@
 /*
- * Updates the targets of a pool to the desired weights. One instance of the fleet issues orders at a time: it holds a
- * claim whose number, the fencing token, grows with each claim, and targets refuse orders with a lower token.
+ * Updates the targets of a pool to the desired weights. One instance of the fleet issues orders at a time, which holds the order lease.
+ * The number of its claim, the fencing token, grows with each claim, and targets refuse orders with a lower token.
  */
 package org.cactuspulley.core.forwarding
 
@@ -45,8 +45,13 @@
 
 /** An action that the rollout requests. The documentation of each names the method of [WeightRollout] that takes the result. */
 public sealed interface RolloutAction {
-    /** Claim the right to issue orders; the result goes to [WeightRollout.onClaimAnswer]. */
-    public data object Claim : RolloutAction
+    /**
+     * Append a claim of the right to issue orders; the result goes to [WeightRollout.onClaimAnswer].
+     *
+     * @property lastToken the fencing token of this instance's last claim, which the new one must follow in the store. If it is null,
+     *    read the newest claim, pass it to [WeightRollout.recordClaim] and append only if [WeightRollout.mayClaim] holds then.
+     */
+    public data class Claim(val lastToken: Long?) : RolloutAction
 
     /** Request a report from [target]; the result goes to [WeightRollout.onReport]. */
     public data class RequestReport(val target: TargetId) : RolloutAction
@@ -57,6 +62,8 @@
      * @property fencingToken the fencing token of this instance's claim.
      * @property ordersAccepted the number of accepted orders from the target's last report.
      * @property runs what happens to the running requests of the target.
+     * @property sendDeadline the time from which on the order may not be sent.
+     * @property arrivalDeadline the time from which on the order may not arrive at the target.
      */
     public data class Order(
         val target: TargetId,
@@ -64,43 +71,45 @@
         val fencingToken: Long,
         val ordersAccepted: Long,
         val runs: RunsDuringLoad,
+        val sendDeadline: MonotonicTime,
+        val arrivalDeadline: MonotonicTime,
     ) : RolloutAction
 }
 
-/** The result of a claim. */
-public sealed interface ClaimAnswer {
-    /** This instance may issue orders with the fencing token [fence]. The log shows the property's name. */
-    public data class Granted(val fence: Long) : ClaimAnswer
-
-    /** Another instance made a claim in the meantime; [holder] is null if it is not known. */
-    public data class Lost(val holder: InstanceId?) : ClaimAnswer
-
-    /** The store did not answer. */
-    public data object Unknown : ClaimAnswer
-}
-
 /** The settings of a rollout. */
 public data class RolloutSettings(
     /** The fraction of a pool's targets that may be draining or loading at the same time; the rest continues to serve. */
     val maxConcurrentFraction: Double = 0.5,
-    /**
-     * How long the holder of a claim must be silent before another instance takes it over; it is the lease from the
-     * settings of the platform.
-     */
+    /** How far apart the orders of two holders to one target must be; it is the lease from the settings of the platform. */
     val lease: Duration = 3_000.milliseconds,
     /** How long after newer weights were named a request may still begin on older ones. */
     val startLimit: Duration = 8_000.milliseconds,
 ) {
+    /** How long a claim permits orders, counted from the call that appends it. The last order has reached its target by then. */
+    val claimTerm: Duration get() = lease / TERMS_PER_LEASE
+
+    /** How long an order may be on its way: a call that takes longer is ended, and what is not delivered by then is discarded. */
+    val orderTimeout: Duration get() = claimTerm * ORDER_FRACTION
+
+    /** How long a claim must be known and not be renewed before another instance may replace it. */
+    val takeoverDelay: Duration get() = claimTerm + lease
+
     /**
      * How long after newer weights were named targets may still be drained for them. It leaves time for another instance to take
      * the claim over and to update all targets before [startLimit].
      */
-    val drainLimit: Duration get() = (startLimit - lease - UPDATE_TIME).coerceAtLeast(Duration.ZERO)
+    val drainLimit: Duration get() = (startLimit - takeoverDelay - UPDATE_TIME).coerceAtLeast(Duration.ZERO)
 
     /** How long after newer weights were named the first batch of a pool may be drained; the batches share [drainLimit]. */
     val firstDrainLimit: Duration get() = drainLimit / ceil(1.0 / maxConcurrentFraction)
 
     private companion object {
+        /** Short terms let another instance take over soon; each term costs about three calls while a rollout runs. */
+        const val TERMS_PER_LEASE = 3
+
+        /** The part of a term in which an order may be on its way. */
+        const val ORDER_FRACTION = 0.4
+
         /** The time in which two halves of a pool load weights one after the other without being drained. */
         val UPDATE_TIME = 1_000.milliseconds
     }
@@ -128,19 +137,16 @@
     }
 
     private val updates = LinkedHashMap<TargetId, TargetUpdate>()
-    private var isClaiming = false
-    private var claimRetryAt: MonotonicTime? = null
+    private val lease = OrderLease(self, fleet, settings)
 
-    /** The fencing token of this instance's claim; null while it holds no claim. */
-    public var fencingToken: Long? = null
-        private set
+    /** Whether this instance held the order lease at the last [step]. */
+    private var isOrdering = false
 
-    /** The highest fencing token of any claim that is known; 0 if none is. */
-    private var newestToken = 0L
+    /** The fencing token of this instance's last claim; null if it has made none, or if a newer claim is known. */
+    public val fencingToken: Long? get() = lease.fencingToken
 
-    /** The last instance known to hold the claim; null if none is known. */
-    public var holder: InstanceId? = null
-        private set
+    /** The instance that made the newest known claim; null if it is not known. */
+    public val holder: InstanceId? get() = lease.holder
 
     /** The targets that are draining for new weights or loading them; requests should avoid them. */
     public val loading: Collection<TargetId> get() = updates.keys
@@ -150,30 +156,49 @@
 
     /** The time at which [step] has something to do next; null if nothing is pending. */
     public val nextDeadline: MonotonicTime?
-        get() = updates.values.mapNotNull { it.nextReportAt }.fold(claimRetryAt, ::earliest)
+        get() = updates.values.mapNotNull { it.nextReportAt.takeIf { isOrdering } }.fold(lease.nextDeadline, ::earliest)
 
     /**
-     * Records that [peer] reports to hold the claim with [peerToken]; a claim older than one already known is ignored. Returns whether
-     * the claim was not known before.
+     * Records a claim with [token] that the store or a peer showed at [now]; [holder] is null if its record can't be read. Returns
+     * whether the claim is newer than all known ones.
      */
-    public fun recordPeerClaim(peer: InstanceId, peerToken: Long): Boolean {
-        if (peerToken < newestToken) return false
-        val isNew = peerToken > newestToken || holder != peer
-        newestToken = peerToken
-        holder = peer
-        if ((fencingToken ?: peerToken) < peerToken) releaseClaim()
-        return isNew
+    public fun recordClaim(holder: InstanceId?, token: Long, now: MonotonicTime): Boolean {
+        if (!lease.recordClaim(holder, token, now)) return false
+        if (holder != self) updates.clear()
+        return true
     }
 
-    /** Advances the rollout and returns the actions to perform at [now]. */
-    public fun step(now: MonotonicTime): List<RolloutAction> {
+    /** How long a claim permits orders, counted from the call that appends it. */
+    public val claimTerm: Duration get() = settings.claimTerm
+
+    /** Returns whether this instance may send an order at [now]. */
+    public fun mayOrder(now: MonotonicTime): Boolean = lease.isHeld(now)
+
+    /** Returns whether this instance may append a claim at [now], as far as the known claims are concerned. */
+    public fun mayClaim(now: MonotonicTime): Boolean = lease.mayClaim(now)
+
+    /** Gives up the claim of this instance, because its term may be over although the clock does not show it. */
+    public fun releaseClaim(): Unit = lease.release()
+
+    /**
+     * Advances the rollout and returns the actions to perform at [now]. [isStopping] tells that the instance shuts down: it finishes a
+     * rollout that it has begun, but begins none.
+     */
+    public fun step(now: MonotonicTime, isStopping: Boolean = false): List<RolloutAction> {
         if (!isNeeded) {
             updates.clear()
-            claimRetryAt = null
+            lease.rest()
+            isOrdering = false
             return emptyList()
         }
-        if (fencingToken == null) return claim(now)
-        claimRetryAt = null
+        val actions = mutableListOf<RolloutAction>()
+        lease.claim(now, isStopping)?.let(actions::add)
+        isOrdering = lease.isHeld(now)
+        if (isOrdering) actions += requestReports(now)
+        return actions
+    }
+
+    private fun requestReports(now: MonotonicTime): List<RolloutAction> {
         val actions = mutableListOf<RolloutAction>()
         startUpdates(now)
         updates.values.removeIf { isDone(it) }
@@ -190,28 +215,6 @@
         return actions
     }
 
-    private fun claim(now: MonotonicTime): List<RolloutAction> {
-        if (isClaiming) return emptyList()
-        val other = holder
-        val retryAt = claimRetryAt
-        if (retryAt != null && now < retryAt) return emptyList()
-        if (other != null && other != self) {
-            val leaseEndsAt = fleet.lastContactAt(other)?.plus(settings.lease)
-            if (leaseEndsAt != null && now < leaseEndsAt) {
-                claimRetryAt = leaseEndsAt
-                return emptyList()
-            }
-        }
-        val rank = fleet.rank(CLAIM_SUBJECT, now)
-        if (rank > 0 && retryAt == null) {
-            claimRetryAt = now + CLAIM_STAGGER * rank
-            return emptyList()
-        }
-        isClaiming = true
-        claimRetryAt = null
-        return listOf(RolloutAction.Claim)
-    }
-
     /** Returns whether the target still has running requests to wait for. */
     private fun isDraining(update: TargetUpdate, now: MonotonicTime): Boolean {
         val until = update.drainDeadline ?: return false
@@ -220,23 +223,7 @@
     }
 
     /** Handles the result of a claim. */
-    public fun onClaimAnswer(answer: ClaimAnswer, now: MonotonicTime) {
-        isClaiming = false
-        when (answer) {
-            is ClaimAnswer.Granted -> {
-                fencingToken = answer.fence
-                newestToken = answer.fence
-                holder = self
-            }
-
-            is ClaimAnswer.Lost -> {
-                holder = answer.holder
-                claimRetryAt = now + settings.lease
-            }
-
-            ClaimAnswer.Unknown -> claimRetryAt = now + CLAIM_RETRY_DELAY
-        }
-    }
+    public fun onClaimAnswer(answer: ClaimAnswer, now: MonotonicTime): Unit = lease.onClaimAnswer(answer, now)
 
     private fun startUpdates(now: MonotonicTime) {
         for (weights in desired.all) {
@@ -272,8 +259,8 @@
     /** Handles the report of [target], or null if it did not report, and returns the actions to perform. */
     public fun onReport(target: TargetId, report: TargetReport?, now: MonotonicTime): List<RolloutAction> {
         val update = updates[target] ?: return emptyList()
-        val token = fencingToken
-        if (report == null || token == null) {
+        val right = lease.right(now)
+        if (report == null || right == null) {
             update.nextReportAt = now + REPORT_RETRY_DELAY
             return emptyList()
         }
@@ -289,7 +276,10 @@
         update.orderedAt = now
         update.nextReportAt = now + ANSWER_TIMEOUT
         val runs = if (report.running + report.waiting <= 0) RunsDuringLoad.FINISH else RunsDuringLoad.GO_ON
-        return listOf(RolloutAction.Order(target, weights, token, report.ordersAccepted, runs))
+        val arrivalDeadline = right.sendDeadline + settings.orderTimeout
+        return listOf(
+            RolloutAction.Order(target, weights, right.fencingToken, report.ordersAccepted, runs, right.sendDeadline, arrivalDeadline),
+        )
     }
 
     /** Handles the answer of [target] to an order. */
@@ -303,7 +293,10 @@
                 updates.remove(target)
             }
 
-            OrderAnswer.FENCED -> releaseClaim()
+            OrderAnswer.FENCED -> {
+                lease.onFenced(now)
+                updates.clear()
+            }
 
             OrderAnswer.OTHER_TARGET -> {
                 directory.removeMisidentified(target)
@@ -314,11 +307,6 @@
         }
     }
 
-    private fun releaseClaim() {
-        fencingToken = null
-        updates.clear()
-    }
-
     private fun isDone(update: TargetUpdate): Boolean {
         val target = directory[update.target] ?: return true
         val desiredVersion = desired.newest(update.model)?.version ?: return true
@@ -330,17 +318,6 @@
     }
 
     private companion object {
-        const val CLAIM_SUBJECT = "weight-rollout"
-
-        /**
-         * The time per rank by which an instance delays its claim, so that an instance with a better rank can claim
-         * first and report it.
-         */
-        val CLAIM_STAGGER = 500.milliseconds
-
-        /** The delay before the next claim if the store did not answer. */
-        val CLAIM_RETRY_DELAY = 500.milliseconds
-
         /** The interval at which a draining target is checked; its load is reported at the same interval. */
         val DRAIN_CHECK_INTERVAL = 100.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -86,8 +86,8 @@
         EncodedSaveNotice(notice.prefix.scope, notice.prefix.lastPiece, notice.availableIn.inWholeMilliseconds)
 
     /**
-     * The addresses of the peers that receive regular digests. The instance that issues weight orders sends its digests to all,
-     * because another instance takes over when it has not been heard from for the duration of a lease.
+     * The addresses of the peers that receive regular digests. The instance that issues weight orders sends its digests to all, so that
+     * they know how old its claim is before they take it over.
      */
     private fun recipients(): List<HostAndPort> {
         val fleet = state.fleet
@@ -312,8 +312,10 @@
 
     private fun recordPeerClaim(peer: InstanceId, token: Long) {
         val ownToken = rollout.fencingToken
-        if (!rollout.recordPeerClaim(peer, token)) return
-        context.log.event("claim_heard", "holder" to peer.text, "fence" to token, "ownFence" to ownToken)
+        val lastHolder = rollout.holder
+        if (!rollout.recordClaim(peer, token, context.clock.now())) return
+        // A holder renews its claim several times a second.
+        if (peer != lastHolder) context.log.event("claim_heard", "holder" to peer.text, "fence" to token, "ownFence" to ownToken)
     }
 
     private fun applyRelayed(peer: InstanceId, range: RelayedRange, now: MonotonicTime) {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
@@ -4,10 +4,9 @@
 package org.cactuspulley.runtime.forwarding
 
 import com.github.michaelbull.result.Result
-import org.cactuspulley.core.forwarding.DesiredWeights
 import org.cactuspulley.core.forwarding.ForwardingConfiguration
 import org.cactuspulley.core.forwarding.OrderAnswer
-import org.cactuspulley.core.forwarding.RunsDuringLoad
+import org.cactuspulley.core.forwarding.RolloutAction
 import org.cactuspulley.core.forwarding.TargetEntry
 import org.cactuspulley.core.forwarding.TargetReport
 import org.cactuspulley.core.model.InstanceId
@@ -105,14 +104,9 @@
     /** Requests the report of [target]; passes null to [done] if there is none. */
     public fun report(target: TargetEntry, done: (TargetReport?) -> Unit)
 
-    /** Orders [target] to load [weights], provided that it has accepted [ordersAccepted] orders so far. */
-    public fun order(
-        target: TargetEntry,
-        weights: DesiredWeights,
-        holder: InstanceId,
-        fencingToken: Long,
-        ordersAccepted: Long,
-        runs: RunsDuringLoad,
-        done: (OrderAnswer) -> Unit,
-    )
+    /**
+     * Sends [order], which [holder] gives, to [target]. It has no effect if the target has accepted other orders since its report. It is
+     * not sent or delivered after its deadlines.
+     */
+    public fun order(target: TargetEntry, order: RolloutAction.Order, holder: InstanceId, done: (OrderAnswer) -> Unit)
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -24,7 +24,16 @@
     private val rollout: WeightRollout,
     private val store: RecordStore,
     private val control: TargetControl,
+    private val wallClockMillis: () -> Long = System::currentTimeMillis,
 ) {
+    /** Whether the store has been asked for the newest claim, so that its age is known before it is to be replaced. */
+    private var hasReadClaim = false
+
+    /**
+     * The wall-clock times, in Unix milliseconds, between which the last claim of this instance was made and ends. The monotonic clock
+     * does not count the time for which the machine is suspended.
+     */
+    private var claimMillis = LongRange.EMPTY
     private var timer: Future<*>? = null
 
     /** The targets that peers were last told to avoid. */
@@ -35,7 +44,8 @@
 
     /** Executes all actions that are due; must be called after every change of desired weights, targets or peers and every answer. */
     fun advance() {
-        execute(rollout.step(context.clock.now()))
+        if (!hasReadClaim) readClaim()
+        execute(rollout.step(context.clock.now(), isStopping = context.plannedStop != null))
         announceLoading()
         val next = rollout.nextDeadline
         if (next == timerAt && timer?.isDone == false) return
@@ -55,40 +65,55 @@
 
     private fun execute(actions: List<RolloutAction>): Unit = actions.forEach { action ->
         when (action) {
-            RolloutAction.Claim -> claim()
+            is RolloutAction.Claim -> claim(action.lastToken)
             is RolloutAction.RequestReport -> requestReport(action.target)
             is RolloutAction.Order -> sendOrder(action)
         }
     }
 
-    private fun claim() {
-        store.newest(StoreTopic.CLAIMS) { result ->
-            result.fold(success = ::appendClaim, failure = { claimAnswered(ClaimAnswer.Unknown) })
+    /** Learns at the start of the instance which claim is the newest. */
+    private fun readClaim() {
+        hasReadClaim = true
+        store.newest(StoreTopic.CLAIMS) { result -> result.fold(success = ::recordClaim, failure = { logReadFailure(it) }) }
+    }
+
+    private fun logReadFailure(failure: StoreFailure) = context.log.event("claim_unread", "cause" to failure.toString())
+
+    /** Records the newest claim in [batch], which holds the newest record of each key of the topic. */
+    private fun recordClaim(batch: RecordBatch) {
+        val record = batch.records.firstOrNull { it.key == CLAIM_KEY } ?: return
+        val claim = record.value?.let(::decodeClaim)
+        val isNew = rollout.recordClaim(claim?.let { InstanceId(it.holder) }, record.offset + 1, context.clock.now())
+        if (isNew) {
+            context.log.event("claim_read", "holder" to claim?.holder, "incarnation" to claim?.incarnation, "fence" to record.offset + 1)
         }
     }
 
-    private fun appendClaim(batch: RecordBatch) {
-        val currentClaim = batch.records.firstOrNull { it.key == CLAIM_KEY }?.value?.let(::decodeClaim)
-        val now = context.clock.now()
-        val currentHolder = currentClaim?.let { InstanceId(it.holder) }
-        val lastContactAt = currentHolder?.let { context.state.fleet.lastContactAt(it) }
-        context.log.event(
-            "claim_read",
-            "holder" to currentHolder?.text,
-            "incarnation" to currentClaim?.incarnation,
-            "end" to batch.next,
-            "contactMillis" to lastContactAt?.let { (now - it).inWholeMilliseconds },
-            "knownHolder" to rollout.holder?.text,
-            "livePeers" to context.state.fleet.live(now).size,
-        )
-        if (currentHolder != null && currentHolder.text != ownClaim.holder && context.state.fleet.isLive(currentHolder, now)) {
-            return claimAnswered(ClaimAnswer.Lost(currentHolder))
+    private fun claim(lastToken: Long?) {
+        // A token is the offset after the claim, so no other claim has been appended if the topic ends there.
+        if (lastToken != null) return appendClaim(lastToken)
+        store.newest(StoreTopic.CLAIMS) { result ->
+            result.fold(
+                success = { batch ->
+                    recordClaim(batch)
+                    if (rollout.mayClaim(context.clock.now())) appendClaim(batch.next) else claimAnswered(ClaimAnswer.Lost)
+                },
+                failure = { claimAnswered(ClaimAnswer.Unknown) },
+            )
         }
-        store.append(StoreTopic.CLAIMS, CLAIM_KEY, Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim), batch.next) { appended ->
+    }
+
+    private fun appendClaim(end: Long) {
+        val calledAt = context.clock.now()
+        val calledAtMillis = wallClockMillis()
+        store.append(StoreTopic.CLAIMS, CLAIM_KEY, Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim), end) { appended ->
             claimAnswered(
                 appended.fold(
-                    success = { offset -> ClaimAnswer.Granted(offset + 1) },
-                    failure = { failure -> if (failure == StoreFailure.Moved) ClaimAnswer.Lost(null) else ClaimAnswer.Unknown },
+                    success = { offset ->
+                        claimMillis = calledAtMillis..calledAtMillis + rollout.claimTerm.inWholeMilliseconds
+                        ClaimAnswer.Granted(offset + 1, calledAt)
+                    },
+                    failure = { failure -> if (failure == StoreFailure.Moved) ClaimAnswer.Lost else ClaimAnswer.Unknown },
                 ),
             )
         }
@@ -102,9 +127,10 @@
     }
 
     private fun claimAnswered(answer: ClaimAnswer) {
-        context.log.event("claim", "answer" to answer.toString())
+        val isRenewal = answer is ClaimAnswer.Granted && rollout.mayOrder(context.clock.now())
+        if (!isRenewal) context.log.event("claim", "answer" to answer.toString(), "holder" to rollout.holder?.text)
         rollout.onClaimAnswer(answer, context.clock.now())
-        context.scheduleDigest()
+        if (!isRenewal) context.scheduleDigest()
         advance()
     }
 
@@ -122,9 +148,12 @@
         val target = context.state.directory[action.target]
         val sentAt = context.clock.now()
         if (target == null) return orderAnswered(action, OrderAnswer.UNANSWERED, sentAt)
-        control.order(target.entry, action.weights, InstanceId(ownClaim.holder), action.fencingToken, action.ordersAccepted, action.runs) {
-            orderAnswered(action, it, sentAt)
+        if (wallClockMillis() !in claimMillis) {
+            context.log.event("claim_outdated", "fence" to action.fencingToken)
+            rollout.releaseClaim()
+            return orderAnswered(action, OrderAnswer.UNANSWERED, sentAt)
         }
+        control.order(target.entry, action, InstanceId(ownClaim.holder)) { orderAnswered(action, it, sentAt) }
     }
 
     private fun orderAnswered(action: RolloutAction.Order, answer: OrderAnswer, sentAt: MonotonicTime) {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
@@ -23,6 +23,8 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.runtime.control.MonotonicClock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.TimeUnit
@@ -35,6 +37,7 @@
  *
  * @property usesOwnConnection whether the request is sent on a new connection, which is closed after the response. A service that may
  *     repeat a response late, when the next one is due, needs it: responses name no request.
+ * @property expiry when the request has to be sent and to arrive; null if that may happen at any time.
  */
 public class PlatformRequest(
     public val method: HttpMethod,
@@ -43,12 +46,21 @@
     public val headers: Map<String, String> = emptyMap(),
     public val timeout: Duration = DEFAULT_TIMEOUT,
     public val usesOwnConnection: Boolean = false,
+    public val expiry: RequestExpiry? = null,
 ) {
     private companion object {
         val DEFAULT_TIMEOUT = 2_000.milliseconds
     }
 }
 
+/**
+ * The limits of a request that must not take effect late.
+ *
+ * @property sendDeadline the time from which on the request is not sent.
+ * @property arrivalDeadline the time at which the connection is reset, so that what is still on its way does not arrive.
+ */
+public data class RequestExpiry(val sendDeadline: MonotonicTime, val arrivalDeadline: MonotonicTime)
+
 /** A complete HTTP response. */
 public class PlatformResponse(public val status: Int, public val body: ByteArray)
 
@@ -71,6 +83,7 @@
     private val group: EventLoopGroup,
     private val connectTimeout: Duration = 500.milliseconds,
     private val maximumResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
 ) : AutoCloseable {
     private val idleChannels = ConcurrentHashMap<HostAndPort, ConcurrentLinkedDeque<Channel>>()
     private val isClosed = AtomicBoolean()
@@ -120,14 +133,23 @@
         channel.eventLoop().execute {
             val handler = channel.pipeline().get(ResponseHandler::class.java)
             if (handler == null || !channel.isActive) return@execute ifClosed()
+            val now = clock.now()
+            val expiry = pending.request.expiry
+            if (expiry != null && now >= expiry.sendDeadline) {
+                channel.close()
+                return@execute pending.finish(Err(PlatformRequestFailure.NotSent("its deadline has passed")))
+            }
+            val timeout = expiry?.let { minOf(pending.request.timeout, it.arrivalDeadline - now) } ?: pending.request.timeout
             handler.pending = pending
             handler.release = { if (pending.request.usesOwnConnection) channel.close() else returnToPool(pending.address, channel) }
             val timer = channel.eventLoop().schedule(
                 {
-                    pending.finish(Err(PlatformRequestFailure.Unanswered("no answer in ${pending.request.timeout}")))
+                    pending.finish(Err(PlatformRequestFailure.Unanswered("no answer in $timeout")))
+                    // Closing without a reset would still deliver what a broken link has held up.
+                    if (expiry != null) channel.config().setOption(ChannelOption.SO_LINGER, 0)
                     channel.close()
                 },
-                pending.request.timeout.inWholeMilliseconds,
+                timeout.inWholeMilliseconds,
                 TimeUnit.MILLISECONDS,
             )
             pending.onFinish = { timer.cancel(false) }
