Read the era of the store's answers and log a restore

RecordBatch and the new AppendedRecord carry the era of their answer; observeEras tells that of refusals.

No other logic changes.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -43,6 +43,9 @@
     /** The quarantine of the pieces of prompts that crash targets. */
     val pieceQuarantine = PieceQuarantineExchange(this) { sendToAll() }
 
+    /** The era of the store. */
+    val storeEra = StoreEra(log)
+
     /** What targets say in their responses about leaving. */
     val leavingTargets = LeavingTargetExchange(this)
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -140,6 +140,7 @@
         settings.listen.questions.distinct().forEach { channels += bindQueries(context, parseAddress(it), ::respondToQuery) }
         registry.onRead = digests::registryWasRead
         operations.onRead = { from, changed -> if (changed.isNotEmpty()) digests.operationsWereRead(from, changed) }
+        ports.store.observeEras(context.storeEra::recordAnswer)
         loop.execute {
             log.event("started", "zone" to settings.instance.zone, "callers" to settings.listen.callers, "incarnation" to incarnation)
             registry.read()
@@ -165,7 +166,7 @@
         val value = Cbor.encodeToByteArray(Announcement.serializer(), announcement)
         ports.store.append(StoreTopic.INSTANCES, self.id.text, value, null) { result ->
             result.fold(
-                success = { offset -> log.event("announced", "offset" to offset) },
+                success = { appended -> log.event("announced", "offset" to appended.offset, "era" to appended.era) },
                 failure = { failure ->
                     log.event("announcement_failed", "cause" to failure.toString())
                     context.schedule(ANNOUNCE_RETRY_DELAY) { announce() }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
@@ -37,8 +37,13 @@
  *
  * @property records the records that were read.
  * @property next the offset after the last record that the read covered; the next read starts there.
+ * @property era the era of the store's answer. It rises each time the store is restored from a copy, and offsets of different eras
+ *    name different records.
  */
-public class RecordBatch(public val records: List<KeyedRecord>, public val next: Long)
+public class RecordBatch(public val records: List<KeyedRecord>, public val next: Long, public val era: Long = 0)
+
+/** An appended record; [offset] names it in [era] only. */
+public data class AppendedRecord(val offset: Long, val era: Long = 0)
 
 /** The reason why a call to the store failed. */
 public sealed interface StoreFailure {
@@ -66,8 +71,17 @@
     /** Reads the newest record of each key of [topic]. */
     public fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit)
 
-    /** Appends [value] under [key], if [expectedEnd] is null or the topic ends there; passes the record's offset to [done]. */
-    public fun append(topic: StoreTopic, key: String, value: ByteArray, expectedEnd: Long?, done: (Result<Long, StoreFailure>) -> Unit)
+    /** Appends [value] under [key], if [expectedEnd] is null or the topic ends there. */
+    public fun append(
+        topic: StoreTopic,
+        key: String,
+        value: ByteArray,
+        expectedEnd: Long?,
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
+    )
+
+    /** Calls [observer] with the era of each answer that carries none to its caller, such as a refusal, before the caller gets it. */
+    public fun observeEras(observer: (topic: StoreTopic, era: Long) -> Unit): Unit = Unit
 }
 
 /** The change that an operator's record makes. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -78,7 +78,7 @@
         store.append(StoreTopic.CLAIMS, CLAIM_KEY, Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim), batch.next) { appended ->
             claimAnswered(
                 appended.fold(
-                    success = { offset -> ClaimAnswer.Granted(offset + 1) },
+                    success = { ClaimAnswer.Granted(it.offset + 1) },
                     failure = { failure -> if (failure == StoreFailure.Moved) ClaimAnswer.Lost(null) else ClaimAnswer.Unknown },
                 ),
             )
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -88,6 +88,7 @@
     private fun complete(result: Result<RecordBatch, StoreFailure>, use: (RecordBatch) -> Unit) {
         result.fold(
             success = { batch ->
+                context.storeEra.recordAnswer(topic, batch.era)
                 if (pause.isPositive()) context.schedule(pause) { continueFollowing() } else isReading = false
                 if (isFailing) {
                     context.log.event("store_answers", "topic" to topic.name)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
@@ -15,8 +15,10 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpRequestEncoder
@@ -50,7 +52,11 @@
 }
 
 /** A complete HTTP response. */
-public class PlatformResponse(public val status: Int, public val body: ByteArray)
+public class PlatformResponse(
+    public val status: Int,
+    public val body: ByteArray,
+    public val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE,
+)
 
 /** Describes why a request has no response. */
 public sealed interface PlatformRequestFailure {
@@ -194,7 +200,7 @@
         val completed = pending ?: return
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
         pending = null
-        val platformResponse = PlatformResponse(response.status().code(), ByteBufUtil.getBytes(response.content()))
+        val platformResponse = PlatformResponse(response.status().code(), ByteBufUtil.getBytes(response.content()), response.headers())
         if (HttpUtil.isKeepAlive(response)) release() else context.close()
         completed.finish(Ok(platformResponse))
     }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -49,7 +49,7 @@
         key: String,
         value: ByteArray,
         expectedEnd: Long?,
-        done: (Result<Long, StoreFailure>) -> Unit,
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
     ) = Unit
 }
 
@@ -114,7 +114,7 @@
         key: String,
         value: ByteArray,
         expectedEnd: Long?,
-        done: (Result<Long, StoreFailure>) -> Unit,
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
     ) = error("This test appends no records")
 }
 
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
@@ -41,8 +41,8 @@
         key: String,
         value: ByteArray,
         expectedEnd: Long?,
-        done: (Result<Long, StoreFailure>) -> Unit,
-    ) = done(Ok(0))
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
+    ) = done(Ok(AppendedRecord(0)))
 }
 
 /** Targets that accept each order; a test says when they have loaded their weights. */
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -47,7 +47,7 @@
         key: String,
         value: ByteArray,
         expectedEnd: Long?,
-        done: (Result<Long, StoreFailure>) -> Unit,
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
     ) = error("This test appends no records")
 }
 
@@ -78,7 +78,7 @@
         key: String,
         value: ByteArray,
         expectedEnd: Long?,
-        done: (Result<Long, StoreFailure>) -> Unit,
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
     ) = error("This test appends no records")
 }
 
