Key what is known of the store by its era

Cause: offsets were taken to rise only, so records of the new log with offsets of the lost one were ignored, or skipped where the log had grown past its former end.

One rule now: offsets and positions belong to an era. A replica enters a later era with the newest records of all keys, keeps what it knows until these replace or delete it, and uses nothing of an earlier era, whether the store or a peer sent it. Digests and relayed ranges name the era, and a position counts only within it. A read that waits when a later era becomes known, from any answer or a peer, is abandoned. Targets that the copy lacks get the time to return that they have after an outage, also over a second one; a report that says leaving counts whatever its number; an instance announces itself again.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -67,17 +67,21 @@
     /** Records that [version] of the weights of [model] was named, which targets may load. */
     public fun weightsNamed(model: ModelName, version: Long): Unit = targets.values.forEach { it.weightsNamed(model, version) }
 
-    /** Records that the registry became readable again at [now] after an outage. */
+    /** Records that the registry became readable again at [now] after an outage, or was restored from a copy that may lack entries. */
     public fun registryRecovered(now: MonotonicTime) {
-        deferRemovalsUntil = maxOf(deferRemovalsUntil ?: now, now + recoveryGracePeriod)
+        val until = maxOf(deferRemovalsUntil ?: now, now + recoveryGracePeriod)
+        deferRemovalsUntil = until
+        // The targets whose removals are still deferred could not register during another outage either.
+        deferredRemovals.replaceAll { _, _ -> until }
     }
 
     /** Applies an entry that a target published and returns how the directory changed. */
     public fun upsert(entry: TargetEntry): DirectoryChange {
         val current = targets[entry.id]
+        // A target leaves for good, whatever it reported before or after.
+        if (entry.isLeaving) recordLeaving(entry.id, entry.startedAtMillis)
         if (isStale(entry, current)) return DirectoryChange.STALE
         latestEntries[entry.id] = entry
-        if (entry.isLeaving) recordLeaving(entry.id, entry.startedAtMillis)
         deferredRemovals.remove(entry.id)
         val change = when {
             current == null -> DirectoryChange.ADDED
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -40,9 +40,10 @@
     /** The newest digest of a peer; [digest] is kept only if a peer of the same zone sent it directly, and is null otherwise. */
     private class ReceivedDigest(val incarnation: Long, val sequence: Long, val at: MonotonicTime, val digest: FleetDigest?)
 
-    /** How far a peer has read each topic, when it said so and when records were last relayed to it. */
+    /** How far a peer has read each topic in [era], when it said so and when records were last relayed to it. */
     private class PeerPosition(
         val address: HostAndPort,
+        val era: Long,
         val operationsNext: Long?,
         val registryNext: Long?,
         val heardAt: MonotonicTime,
@@ -68,7 +69,9 @@
      */
     fun shouldReadOperations(now: MonotonicTime): Boolean {
         val next = operations.replica.next ?: return true
-        val isLagging = positions.values.any { now - it.heardAt < POSITION_LIFETIME && (it.operationsNext ?: next) > next }
+        val isLagging = operations.isOutdated || positions.values.any {
+            now - it.heardAt < POSITION_LIFETIME && it.era == operations.replica.era && (it.operationsNext ?: next) > next
+        }
         laggingSince = if (isLagging) laggingSince ?: now else null
         return state.fleet.isStoreReader(now) || laggingSince?.let { now - it > RELAY_TIMEOUT } ?: false
     }
@@ -149,7 +152,7 @@
         val now = context.clock.now()
         val next = replica.next ?: return
         if (from == null) return
-        val range = RelayedRange(topic, from, next, changed.map(::toRelayed))
+        val range = RelayedRange(topic, from, next, changed.map(::toRelayed), era = replica.era)
         val digest = ownDigest(now).let { if (state.fleet.isLarge) it.withoutState() else it }
         sendTo(PeerMessage(digest.copy(relayedRanges = listOf(range))), addresses(state.fleet.live(now)))
     }
@@ -171,18 +174,23 @@
 
     private fun missingRanges(peer: PeerPosition): List<RelayedRange> =
         listOfNotNull(
-            missingRange(operations.replica, StoreTopic.OPERATIONS, peer.operationsNext, age = null),
-            missingRange(registry.replica, StoreTopic.REGISTRY, peer.registryNext, age = registry.age(context.clock.now())),
+            missingRange(operations.replica, StoreTopic.OPERATIONS, peer.era, peer.operationsNext, age = null),
+            missingRange(registry.replica, StoreTopic.REGISTRY, peer.era, peer.registryNext, age = registry.age(context.clock.now())),
         )
 
-    /** The records of [topic] that a peer is missing which knows those before [from]; [age] is the time since they were read. */
-    private fun missingRange(replica: TopicReplica, topic: StoreTopic, from: Long?, age: Duration?): RelayedRange? {
+    /**
+     * The records of [topic] that a peer is missing which knows those before [peerNext] of [peerEra]; [age] is the time since they were
+     * read.
+     */
+    private fun missingRange(replica: TopicReplica, topic: StoreTopic, peerEra: Long, peerNext: Long?, age: Duration?): RelayedRange? {
+        if (replica.era < context.storeEra.current) return null
         val next = replica.next ?: return null
+        val from = peerNext.takeIf { peerEra == replica.era }
         if (from != null && from >= next) return null
         val changes = from?.let(replica::completeChangesSince)
         val ageMillis = age?.inWholeMilliseconds ?: 0
-        if (changes == null) return RelayedRange(topic, null, next, replica.all().map(::toRelayed), ageMillis)
-        return RelayedRange(topic, from, next, changes.map(::toRelayed), ageMillis)
+        if (changes == null) return RelayedRange(topic, null, next, replica.all().map(::toRelayed), ageMillis, replica.era)
+        return RelayedRange(topic, from, next, changes.map(::toRelayed), ageMillis, replica.era)
     }
 
     private fun toRelayed(record: KeyedRecord) = RelayedRecord(record.key, record.offset, record.value)
@@ -199,8 +207,9 @@
             serves = state.fleet.selfServes,
             linkMegabits = self.linkMegabits,
             reachesStore = !operations.isFailing,
-            operationsNext = operations.replica.next,
-            registryNext = registry.replica.next,
+            storeEra = context.storeEra.current,
+            operationsNext = operations.replica.nextInCurrentEra(),
+            registryNext = registry.replica.nextInCurrentEra(),
             claimFence = rollout.fencingToken,
             uses = state.allTokenBuckets.map { (workspace, bucket) ->
                 bucket.usage(now).let { WorkspaceUsage(workspace.text, it.total, it.perSecond, it.available) }
@@ -224,6 +233,8 @@
         )
     }
 
+    private fun TopicReplica.nextInCurrentEra(): Long? = next.takeIf { era == context.storeEra.current }
+
     private fun shownWeights(): List<ObservedWeights> = state.desiredWeights.all.flatMap { desired ->
         state.directory.all.filter {
             (it.entry.weights[desired.model] ?: desired.version) < desired.version &&
@@ -268,6 +279,7 @@
         val member = digest.member()
         val peer = member.id
         if (peer == self.id) return
+        context.storeEra.recordPeer(peer.text, digest.storeEra)
         val hasLostStore = state.fleet.reachesStore(peer) && !digest.reachesStore
         if (state.fleet.recordContact(member, digest.serves, digest.reachesStore, at, isRelayed)) {
             context.log.event("peer_live", "peer" to peer.text)
@@ -290,7 +302,7 @@
     /** Applies the state that [peer] had at [at]; its load, its loading targets and its unresponsive stores count [until] then. */
     private fun applyState(peer: InstanceId, digest: FleetDigest, at: MonotonicTime, until: MonotonicTime) {
         HostAndPort.parse(digest.peerAddress)?.let {
-            positions[peer] = PeerPosition(it, digest.operationsNext, digest.registryNext, at, positions[peer]?.relayedAt)
+            positions[peer] = PeerPosition(it, digest.storeEra, digest.operationsNext, digest.registryNext, at, positions[peer]?.relayedAt)
         }
         digest.uses.forEach { use ->
             val reported = TokenBucketUsage(use.total, use.perSecond, use.available)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -29,8 +29,9 @@
  * @property linkMegabits the capacity of the instance's network link in megabits per second; 0 if it is not known.
  * @property serves whether the instance serves callers.
  * @property reachesStore whether the store answered the instance's last read of the operators' topic.
- * @property operationsNext the offset up to which the instance knows the operators' topic; null if it has not read it.
- * @property registryNext the offset up to which the instance knows the target registry; null if it has not read it.
+ * @property storeEra the newest era of the store that the instance knows.
+ * @property operationsNext the offset up to which the instance knows the operators' topic in that era; null if it has not read it.
+ * @property registryNext the offset up to which the instance knows the target registry in that era; null if it has not read it.
  * @property claimFence the fencing token of the instance's claim to issue weight orders; null if it holds no claim.
  * @property uses the instance's consumption from the workspaces' token buckets.
  * @property excluded the targets that the instance excludes after failures.
@@ -59,6 +60,7 @@
     val serves: Boolean,
     val linkMegabits: Double = 0.0,
     val reachesStore: Boolean = false,
+    @SerialName("era") val storeEra: Long = 0,
     val operationsNext: Long? = null,
     val registryNext: Long? = null,
     val claimFence: Long? = null,
@@ -211,6 +213,7 @@
  * @property next the offset up to which, exclusively, the records are complete.
  * @property records the newest records of the keys that changed in the range.
  * @property ageMillis the time since an instance read the range from the store, in milliseconds.
+ * @property era the era of the store to which the offsets belong.
  */
 @Serializable
 internal data class RelayedRange(
@@ -219,6 +222,7 @@
     val next: Long,
     val records: List<RelayedRecord>,
     val ageMillis: Long = 0,
+    val era: Long = 0,
 )
 
 /** A record of the platform's log; a null [value] marks a deleted key. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -127,6 +127,9 @@
         }
     private val cacheStores = CacheStoreMonitor(context, ports.control)
     private val channels = mutableListOf<Channel>()
+
+    /** The era of the store in which this instance was last announced; null while its announcement is being written. */
+    private var announcedEra: Long? = null
     private val stopped = CompletableFuture<Unit>()
 
     // The last property, because messages may arrive as soon as it is set.
@@ -140,6 +143,7 @@
         settings.listen.questions.distinct().forEach { channels += bindQueries(context, parseAddress(it), ::respondToQuery) }
         registry.onRead = digests::registryWasRead
         operations.onRead = { from, changed -> if (changed.isNotEmpty()) digests.operationsWereRead(from, changed) }
+        context.storeEra.onRise(::announceIfLost)
         ports.store.observeEras(context.storeEra::recordAnswer)
         loop.execute {
             log.event("started", "zone" to settings.instance.zone, "callers" to settings.listen.callers, "incarnation" to incarnation)
@@ -157,16 +161,28 @@
         )
     }
 
+    /** Announces this instance again if the store was restored from a copy, which may lack its announcement. */
+    private fun announceIfLost() {
+        val writtenIn = announcedEra ?: return
+        if (writtenIn < context.storeEra.current) announce()
+    }
+
     /**
      * Announces this instance and then reads the announcements of others: of two instances that start together, at least one then
      * learns of the other from the store.
      */
     private fun announce() {
+        announcedEra = null
         val announcement = Announcement(self.id.text, incarnation, self.zone.text, self.callerAddress, self.peerAddress, self.linkMegabits)
         val value = Cbor.encodeToByteArray(Announcement.serializer(), announcement)
         ports.store.append(StoreTopic.INSTANCES, self.id.text, value, null) { result ->
             result.fold(
-                success = { appended -> log.event("announced", "offset" to appended.offset, "era" to appended.era) },
+                success = { appended ->
+                    log.event("announced", "offset" to appended.offset, "era" to appended.era)
+                    context.storeEra.recordAnswer(StoreTopic.INSTANCES, appended.era)
+                    announcedEra = appended.era
+                    announceIfLost()
+                },
                 failure = { failure ->
                     log.event("announcement_failed", "cause" to failure.toString())
                     context.schedule(ANNOUNCE_RETRY_DELAY) { announce() }
@@ -217,7 +233,7 @@
     }
 
     private fun updateReadiness() {
-        val serves = context.plannedStop == null && state.authorizer.configuration != null && registry.replica.next != null
+        val serves = context.plannedStop == null && state.authorizer.configuration != null && registry.replica.wasRead
         if (serves == state.fleet.selfServes) return
         state.fleet.selfServes = serves
         log.event(if (serves) "ready" else "not_ready")
@@ -303,7 +319,7 @@
          * pause of this process at any time during the pause.
          */
         private fun recordWeights(change: OperatorChange.Weights, now: MonotonicTime): Boolean {
-            val isFirstRead = operations.replica.next == null
+            val isFirstRead = !operations.replica.wasRead
             val earliest = context.loopDelay.earliestOrigin(now)
             val isAgeKnown = !isFirstRead && earliest == now
             val namedAt = if (isFirstRead) minOf(earliest, now - state.weightsLimits.assumedAge) else earliest
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -1,7 +1,9 @@
 package org.cactuspulley.runtime.forwarding
 
 import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import org.cactuspulley.core.model.MonotonicTime
 import kotlin.time.Duration
@@ -18,12 +20,18 @@
 
     /** Called before records are applied that the store returned at [at] to this instance or to a peer. */
     fun storeAnswered(at: MonotonicTime) = Unit
+
+    /** Called before the records are applied that the store, restored from a copy, returned at [at]; the copy may lack records. */
+    fun storeRestored(at: MonotonicTime) = Unit
 }
 
 /**
  * Maintains a replica of one topic. With [longReadWait], which says how long a read waits for records, it follows the topic by
  * long reads while [shouldFollow] holds. Without it, it reads only when [read] is called.
  *
+ * What belongs to an earlier era of the store than the newest known one is not applied, whether the store or a peer sent it. A later
+ * era begins with the newest records of all keys.
+ *
  * @param pause the time after a successful read in which nothing is read, so that one read returns all records of that time.
  */
 internal class StoreFollower(
@@ -43,9 +51,20 @@
         private set
     private var isReading = false
 
+    /** The number of the read that waits for the store's answer; null if none does. */
+    private var awaitedRead: Long? = null
+    private var reads = 0L
+
     /** Whether the history after the last read was deleted, so that the whole topic must be read again. */
     private var isHistoryLost = false
 
+    /** Whether the topic has not been read since the store was restored from a copy. */
+    val isOutdated: Boolean get() = replica.era < context.storeEra.current
+
+    init {
+        context.storeEra.onRise(::abandonRead)
+    }
+
     /** Called after each successful read, with the records that changed since offset [from]; null stands for a read of the whole topic. */
     var onRead: (from: Long?, changed: List<KeyedRecord>) -> Unit = { _, _ -> }
 
@@ -62,17 +81,49 @@
         if (isReading) return
         isReading = true
         val from = replica.next
-        if (from == null || isHistoryLost) {
-            store.newest(topic) { result -> snapshotRead(from, result) }
+        if (from == null || isHistoryLost || isOutdated) {
+            store.newest(topic, awaiting { result -> snapshotRead(from, result) })
         } else {
             val wait = longReadWait?.takeIf { followsAnswer }?.invoke() ?: Duration.ZERO
-            store.read(topic, from, wait) { result -> rangeRead(from, result) }
+            store.read(topic, from, wait, awaiting { result -> rangeRead(from, result) })
         }
     }
 
+    /** Returns a callback for the read that is sent now, which passes its result to [receive] unless the read is abandoned before. */
+    private fun awaiting(receive: (Result<RecordBatch, StoreFailure>) -> Unit): (Result<RecordBatch, StoreFailure>) -> Unit {
+        val number = ++reads
+        awaitedRead = number
+        return { result ->
+            if (awaitedRead == number) {
+                awaitedRead = null
+                receive(result)
+            }
+        }
+    }
+
+    /** Reads the topic anew instead of waiting for a read that was sent before the store was known to be restored. */
+    private fun abandonRead() {
+        if (awaitedRead == null) return
+        awaitedRead = null
+        isReading = false
+        read()
+    }
+
     private fun snapshotRead(from: Long?, result: Result<RecordBatch, StoreFailure>) = complete(result) { batch ->
         isHistoryLost = false
-        apply(from, batch.records + replica.deletionsIn(batch.records, batch.next), batch.next)
+        val entersEra = batch.era > replica.era
+        if (entersEra) enterEra(batch.era, batch.next, context.clock.now())
+        apply(from.takeUnless { entersEra }, batch.records + replica.deletionsIn(batch.records, batch.next), batch.next)
+    }
+
+    private fun enterEra(era: Long, end: Long, at: MonotonicTime) {
+        val isRestored = replica.wasRead
+        if (isRestored) context.log.event("topic_restored", "topic" to topic.name, "era" to era, "readTo" to replica.next, "end" to end)
+        replica.enter(era)
+        if (!isRestored) return
+        listener.storeRestored(at)
+        // Peers receive the records with it, as its receivers have not told a position in this era yet.
+        context.scheduleDigest()
     }
 
     private fun rangeRead(from: Long, result: Result<RecordBatch, StoreFailure>) {
@@ -82,13 +133,12 @@
             isReading = false
             return read()
         }
-        complete(result) { batch -> apply(from, batch.records, batch.next) }
+        complete(result) { batch -> if (!isOutdated) apply(from, batch.records, batch.next) }
     }
 
     private fun complete(result: Result<RecordBatch, StoreFailure>, use: (RecordBatch) -> Unit) {
-        result.fold(
+        result.andThen(::refuseEarlierEra).fold(
             success = { batch ->
-                context.storeEra.recordAnswer(topic, batch.era)
                 if (pause.isPositive()) context.schedule(pause) { continueFollowing() } else isReading = false
                 if (isFailing) {
                     context.log.event("store_answers", "topic" to topic.name)
@@ -96,7 +146,7 @@
                 }
                 listener.storeAnswered(context.clock.now())
                 use(batch)
-                resume(followsAnswer = true)
+                if (isOutdated) read() else resume(followsAnswer = true)
             },
             failure = { failure ->
                 if (!isFailing) {
@@ -107,15 +157,23 @@
                 // Leaves isReading set, so that nothing reads before the retry delay is over.
                 context.schedule(RETRY_DELAY) {
                     isReading = false
-                    if (longReadWait != null || replica.next == null || isHistoryLost) read()
+                    if (longReadWait != null || replica.next == null || isHistoryLost || isOutdated) read()
                 }
             },
         )
     }
 
+    /** Fails an answer that the store gave before it was restored from a copy. */
+    private fun refuseEarlierEra(batch: RecordBatch): Result<RecordBatch, StoreFailure> {
+        val storeEra = context.storeEra
+        storeEra.recordAnswer(topic, batch.era)
+        if (batch.era >= storeEra.current) return Ok(batch)
+        return Err(StoreFailure.Unanswered("answer of era ${batch.era} after era ${storeEra.current}"))
+    }
+
     private fun continueFollowing() {
         isReading = false
-        resume(followsAnswer = true)
+        if (isOutdated) read() else resume(followsAnswer = true)
     }
 
     private fun apply(from: Long?, records: List<KeyedRecord>, next: Long) {
@@ -139,9 +197,17 @@
         return false
     }
 
-    /** Applies records that a peer has read from the store at [readAt]. */
-    fun applyRelayed(range: RelayedRange, readAt: MonotonicTime) {
+    /**
+     * Applies records that a peer has read from the store at [readAt]; returns whether they are of use. Those of an earlier era are not,
+     * nor is a part of the topic in a later one, whose other part is not known.
+     */
+    fun applyRelayed(range: RelayedRange, readAt: MonotonicTime): Boolean {
+        if (range.era < context.storeEra.current || (range.era > replica.era && range.from != null)) {
+            context.log.event("relay_ignored", "topic" to topic.name, "era" to range.era, "from" to range.from)
+            return false
+        }
         listener.storeAnswered(readAt)
+        if (range.era > replica.era) enterEra(range.era, range.next, readAt)
         val known = replica.next
         val records = range.records.map { KeyedRecord(it.key, it.offset, it.value) }
         val deletions = if (range.from == null) replica.deletionsIn(records, range.next) else emptyList()
@@ -150,6 +216,7 @@
             replica.markChanged(it.key)
         }
         if (range.from == null || (known != null && range.from <= known)) replica.advance(range.next)
+        return true
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -84,9 +84,9 @@
     fun applyRelayed(peer: InstanceId, range: RelayedRange, now: MonotonicTime) {
         val readAt = now - range.ageMillis.milliseconds
         relayedBy = peer
-        follower.applyRelayed(range, readAt)
+        val isOfUse = follower.applyRelayed(range, readAt)
         relayedBy = null
-        if (replica.next != range.next) return
+        if (!isOfUse || replica.next != range.next) return
         lastReader = peer
         knownAt = maxOf(knownAt ?: readAt, readAt)
     }
@@ -125,6 +125,9 @@
             }
             answeredAt = maxOf(last ?: at, at)
         }
+
+        /** Targets whose entries the copy lacks register again as after an outage, however short the store was away. */
+        override fun storeRestored(at: MonotonicTime) = state.directory.registryRecovered(at)
     }
 
     private companion object {
