--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -106,12 +106,12 @@
     private fun appendClaim(end: Long) {
         val calledAt = context.clock.now()
         val calledAtMillis = wallClockMillis()
-        store.append(StoreTopic.CLAIMS, CLAIM_KEY, Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim), end) { appended ->
+        store.append(StoreTopic.CLAIMS, CLAIM_KEY, Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim), end) { result ->
             claimAnswered(
-                appended.fold(
-                    success = { offset ->
+                result.fold(
+                    success = { appended ->
                         claimMillis = calledAtMillis..calledAtMillis + rollout.claimTerm.inWholeMilliseconds
-                        ClaimAnswer.Granted(offset + 1, calledAt)
+                        ClaimAnswer.Granted(appended.offset + 1, calledAt)
                     },
                     failure = { failure -> if (failure == StoreFailure.Moved) ClaimAnswer.Lost else ClaimAnswer.Unknown },
                 ),
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OrderingSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OrderingSimulation.kt
@@ -270,7 +270,7 @@
                 key: String,
                 value: ByteArray,
                 expectedEnd: Long?,
-                done: (Result<Long, StoreFailure>) -> Unit,
+                done: (Result<AppendedRecord, StoreFailure>) -> Unit,
             ) {
                 val fault = appendFault()
                 val execute = { executeAppend(key, value, expectedEnd) }
@@ -285,11 +285,11 @@
                 }
             }
 
-            private fun executeAppend(key: String, value: ByteArray, expectedEnd: Long?): Result<Long, StoreFailure> {
+            private fun executeAppend(key: String, value: ByteArray, expectedEnd: Long?): Result<AppendedRecord, StoreFailure> {
                 val offset = claims.size.toLong()
                 if (expectedEnd != null && expectedEnd != offset) return Err(StoreFailure.Moved)
                 claims += KeyedRecord(key, offset, value)
-                return Ok(offset)
+                return Ok(AppendedRecord(offset))
             }
 
             private fun <T> call(done: (Result<T, StoreFailure>) -> Unit, execute: () -> Result<T, StoreFailure>) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
@@ -42,8 +42,8 @@
         key: String,
         value: ByteArray,
         expectedEnd: Long?,
-        done: (Result<Long, StoreFailure>) -> Unit,
-    ) = done(Ok(end++))
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
+    ) = done(Ok(AppendedRecord(end++)))
 }
 
 /** Targets that accept each order; a test says when they have loaded their weights. */
