Tell claims of the store's eras apart

Cause: a token was the offset of a claim, and a restored store gives offsets out again; a claim appended under the condition of an end may follow other claims that ended there in the meantime, or claims that are lost.

A claim is numbered by the era of the store and the offset, and the token holds both. When an instance learns of a later era, it takes every claim of the former as just made and waits for a term and a lease; a claim that landed in another era than it was meant for gives no right, and its holder does not continue at once. An instance that starts in such a store waits as well.

Evidence: SingleOrdererSpec restores the store between claims (40 seeds, and in its random faults), OrderLeaseSpec has the order of numbers and tokens.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
@@ -12,13 +12,32 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/**
+ * The place of a claim in the store. A store that is restored from a copy begins a later [era] and gives places out again; in one era,
+ * later claims have a higher [end].
+ *
+ * @property end the offset at which the topic of claims ends after the claim; 0 stands for any claim of an earlier era.
+ */
+public data class ClaimNumber(val era: Long, val end: Long) : Comparable<ClaimNumber> {
+    /** The fencing token of the claim; higher for later claims. */
+    val fencingToken: Long get() = (era shl OFFSET_BITS) + end
+
+    override fun compareTo(other: ClaimNumber): Int = compareValuesBy(this, other, { it.era }, { it.end })
+
+    public companion object {
+        /** The bits of a token below its era. The token of a store that was never restored is the offset. */
+        private const val OFFSET_BITS = 32
+
+        /** Returns the number of the claim with [fencingToken]. */
+        public fun of(fencingToken: Long): ClaimNumber =
+            ClaimNumber(fencingToken shr OFFSET_BITS, fencingToken and ((1L shl OFFSET_BITS) - 1))
+    }
+}
+
 /** The result of a call that appends a claim. */
 public sealed interface ClaimAnswer {
-    /**
-     * This instance may issue orders with the fencing token [fence]; the call was made at [calledAt]. The log shows the names of the
-     * properties.
-     */
-    public data class Granted(val fence: Long, val calledAt: MonotonicTime) : ClaimAnswer
+    /** This instance may issue orders by the claim with [number]; the call was made at [calledAt]. */
+    public data class Granted(val number: ClaimNumber, val calledAt: MonotonicTime) : ClaimAnswer
 
     /** The claim was not made, because the store has another one that this instance did not know or may not replace yet. */
     public data object Lost : ClaimAnswer
@@ -32,8 +51,8 @@
 
 /** Decides when an instance claims the right to issue orders and how long it holds it; confined to one thread. */
 public class OrderLease(private val self: InstanceId, private val fleet: FleetView, private val settings: RolloutSettings) {
-    /** The newest known claim; [holder] is null if its record can't be read. Other instances may replace it from [replaceableAt] on. */
-    private data class KnownClaim(val holder: InstanceId?, val token: Long, val replaceableAt: MonotonicTime)
+    /** The newest known claim; [holder] is null if it is not known. Other instances may replace it from [replaceableAt] on. */
+    private data class KnownClaim(val holder: InstanceId?, val number: ClaimNumber, val replaceableAt: MonotonicTime)
 
     private var newest: KnownClaim? = null
     private var isClaiming = false
@@ -47,9 +66,11 @@
     /** The earliest time at which the claim is made or renewed; null if it is not limited. */
     private var claimAt: MonotonicTime? = null
 
+    /** This instance's last claim; null if it has made none, or if a newer claim is known. */
+    private var last: ClaimNumber? = null
+
     /** The fencing token of this instance's last claim; null if it has made none, or if a newer claim is known. */
-    public var fencingToken: Long? = null
-        private set
+    public val fencingToken: Long? get() = last?.fencingToken
 
     private var right: OrderRight? = null
 
@@ -69,12 +90,12 @@
     public fun mayClaim(now: MonotonicTime): Boolean = newest?.let { it.holder == self || now >= it.replaceableAt } ?: true
 
     /**
-     * Records a claim that the store or a peer showed at [now]; [holder] is null if its record can't be read. Returns whether the claim
-     * is newer than all known ones.
+     * Records the claim with [number] that the store or a peer showed at [now]; [holder] is null if it is not known. Returns whether the
+     * claim is newer than all known ones.
      */
-    public fun recordClaim(holder: InstanceId?, token: Long, now: MonotonicTime): Boolean {
-        if (token <= (newest?.token ?: 0)) return false
-        newest = KnownClaim(holder, token, now + settings.takeoverDelay)
+    public fun recordClaim(holder: InstanceId?, number: ClaimNumber, now: MonotonicTime): Boolean {
+        if (!isNewer(number)) return false
+        newest = KnownClaim(holder, number, now + settings.takeoverDelay)
         release()
         return true
     }
@@ -89,7 +110,7 @@
         isClaiming = true
         isStaggered = false
         claimAt = null
-        return RolloutAction.Claim(fencingToken.takeIf { !mustRead })
+        return RolloutAction.Claim(last.takeIf { !mustRead })
     }
 
     /** The last holder continues at once. The others wait until its claim may be replaced, and then by rank. */
@@ -107,16 +128,16 @@
         isClaiming = false
         when (answer) {
             is ClaimAnswer.Granted -> {
-                if (answer.fence <= (newest?.token ?: 0)) return retry(now)
-                newest = KnownClaim(self, answer.fence, now + settings.takeoverDelay)
+                if (!isNewer(answer.number)) return retry(now)
+                newest = KnownClaim(self, answer.number, now + settings.takeoverDelay)
                 mustRead = false
-                fencingToken = answer.fence
-                right = OrderRight(answer.fence, answer.calledAt + settings.claimTerm - settings.orderTimeout)
+                last = answer.number
+                right = OrderRight(answer.number.fencingToken, answer.calledAt + settings.claimTerm - settings.orderTimeout)
                 claimAt = answer.calledAt + settings.claimTerm * RENEWAL_FRACTION
             }
 
             ClaimAnswer.Lost -> {
-                if (fencingToken != null) release()
+                if (last != null) release()
                 retry(now)
             }
 
@@ -124,6 +145,8 @@
         }
     }
 
+    private fun isNewer(number: ClaimNumber) = newest?.let { number > it.number } ?: true
+
     private fun retry(now: MonotonicTime) {
         mustRead = true
         isStaggered = true
@@ -132,7 +155,7 @@
 
     /** Gives up the claim of this instance; the next one begins with a read of the store. */
     public fun release() {
-        fencingToken = null
+        last = null
         right = null
         mustRead = true
         isStaggered = false
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -48,10 +48,10 @@
     /**
      * Append a claim of the right to issue orders; the result goes to [WeightRollout.onClaimAnswer].
      *
-     * @property lastToken the fencing token of this instance's last claim, which the new one must follow in the store. If it is null,
-     *    read the newest claim, pass it to [WeightRollout.recordClaim] and append only if [WeightRollout.mayClaim] holds then.
+     * @property last the number of this instance's last claim, which the new one must follow in the store. If it is null, read the
+     *    newest claim, pass it to [WeightRollout.recordClaim] and append only if [WeightRollout.mayClaim] holds then.
      */
-    public data class Claim(val lastToken: Long?) : RolloutAction
+    public data class Claim(val last: ClaimNumber?) : RolloutAction
 
     /** Request a report from [target]; the result goes to [WeightRollout.onReport]. */
     public data class RequestReport(val target: TargetId) : RolloutAction
@@ -159,11 +159,11 @@
         get() = updates.values.mapNotNull { it.nextReportAt.takeIf { isOrdering } }.fold(lease.nextDeadline, ::earliest)
 
     /**
-     * Records a claim with [token] that the store or a peer showed at [now]; [holder] is null if its record can't be read. Returns
-     * whether the claim is newer than all known ones.
+     * Records the claim with [number] that the store or a peer showed at [now]; [holder] is null if it is not known. Returns whether
+     * the claim is newer than all known ones.
      */
-    public fun recordClaim(holder: InstanceId?, token: Long, now: MonotonicTime): Boolean {
-        if (!lease.recordClaim(holder, token, now)) return false
+    public fun recordClaim(holder: InstanceId?, number: ClaimNumber, now: MonotonicTime): Boolean {
+        if (!lease.recordClaim(holder, number, now)) return false
         if (holder != self) updates.clear()
         return true
     }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/OrderLeaseSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/OrderLeaseSpec.kt
@@ -15,6 +15,8 @@
 private val OTHER = InstanceId("i-2")
 private val NOW = MonotonicTime.ZERO + 100.seconds
 
+private fun claim(end: Long, era: Long = 0) = ClaimNumber(era, end)
+
 private fun lease(): OrderLease {
     val member = FleetMember(SELF, InstanceIncarnation(1), ZoneName("zone-a"), "10.0.0.1:1", "10.0.0.1:2")
     return OrderLease(SELF, FleetView(member), RolloutSettings(lease = 3.seconds))
@@ -22,7 +24,7 @@
 
 /** Claims at [calledAt] and receives the token [fence] at [answeredAt]. */
 private fun OrderLease.claimAndReceive(fence: Long, calledAt: MonotonicTime, answeredAt: MonotonicTime = calledAt): RolloutAction.Claim? =
-    claim(calledAt, isStopping = false).also { onClaimAnswer(ClaimAnswer.Granted(fence, calledAt), answeredAt) }
+    claim(calledAt, isStopping = false).also { onClaimAnswer(ClaimAnswer.Granted(claim(fence), calledAt), answeredAt) }
 
 class OrderLeaseSpec : DescribeSpec({
     describe("a holder") {
@@ -44,7 +46,7 @@
             val lease = lease()
             lease.claimAndReceive(1, NOW)
             lease.claim(NOW + 299.milliseconds, isStopping = false).shouldBeNull()
-            lease.claimAndReceive(2, NOW + 300.milliseconds) shouldBe RolloutAction.Claim(lastToken = 1)
+            lease.claimAndReceive(2, NOW + 300.milliseconds) shouldBe RolloutAction.Claim(claim(1))
             lease.isHeld(NOW + 800.milliseconds) shouldBe true
         }
 
@@ -58,7 +60,7 @@
         it("stops when a newer claim is known") {
             val lease = lease()
             lease.claimAndReceive(1, NOW)
-            lease.recordClaim(OTHER, 2, NOW + 100.milliseconds) shouldBe true
+            lease.recordClaim(OTHER, claim(2), NOW + 100.milliseconds) shouldBe true
             lease.isHeld(NOW + 100.milliseconds) shouldBe false
             lease.fencingToken.shouldBeNull()
         }
@@ -69,7 +71,7 @@
             lease.claimAndReceive(1, NOW)
             lease.claim(NOW + 300.milliseconds, isStopping = false).shouldNotBeNull()
             lease.onClaimAnswer(ClaimAnswer.Unknown, NOW + 1_300.milliseconds)
-            lease.claim(NOW + 1_800.milliseconds, isStopping = false) shouldBe RolloutAction.Claim(lastToken = null)
+            lease.claim(NOW + 1_800.milliseconds, isStopping = false) shouldBe RolloutAction.Claim(null)
         }
 
         it("renews its claim while it stops, but makes no new one") {
@@ -81,10 +83,20 @@
         }
     }
 
+    describe("a fencing token") {
+        // Guards against a token that is given out twice, or falls, because the store gives its offsets out again.
+        it("rises with the era of the store and within it with the offset") {
+            val claims = listOf(claim(1), claim(900), claim(1, era = 1), claim(2, era = 1), claim(0, era = 2))
+            claims.map { it.fencingToken } shouldBe claims.map { it.fencingToken }.sorted().distinct()
+            claims.map { ClaimNumber.of(it.fencingToken) } shouldBe claims
+            claims.sorted() shouldBe claims
+        }
+    }
+
     describe("an instance that is not the holder") {
         it("claims once it has known the newest claim for its term and a lease") {
             val lease = lease()
-            lease.recordClaim(OTHER, 1, NOW)
+            lease.recordClaim(OTHER, claim(1), NOW)
             lease.claim(NOW + 3_999.milliseconds, isStopping = false).shouldBeNull()
             lease.mayClaim(NOW + 3_999.milliseconds) shouldBe false
             lease.claim(NOW + 4.seconds, isStopping = false).shouldNotBeNull()
@@ -92,23 +104,33 @@
 
         it("waits anew when the claim is renewed, and not when the same claim is heard again") {
             val lease = lease()
-            lease.recordClaim(OTHER, 1, NOW)
-            lease.recordClaim(OTHER, 1, NOW + 2.seconds) shouldBe false
+            lease.recordClaim(OTHER, claim(1), NOW)
+            lease.recordClaim(OTHER, claim(1), NOW + 2.seconds) shouldBe false
             lease.mayClaim(NOW + 4.seconds) shouldBe true
-            lease.recordClaim(OTHER, 2, NOW + 2.seconds)
+            lease.recordClaim(OTHER, claim(2), NOW + 2.seconds)
             lease.mayClaim(NOW + 5_999.milliseconds) shouldBe false
         }
 
         it("waits for a claim whose record it cannot read") {
             val lease = lease()
-            lease.recordClaim(null, 1, NOW)
+            lease.recordClaim(null, claim(1), NOW)
             lease.mayClaim(NOW + 3.seconds) shouldBe false
         }
 
+        // Guards against a claim in a restored store that counts as older, or as known for long, because its offset is lower.
+        it("waits for the claims of a store that was restored from a copy, whatever their offsets") {
+            val lease = lease()
+            lease.recordClaim(OTHER, claim(9), NOW)
+            lease.recordClaim(null, claim(0, era = 1), NOW + 3.seconds) shouldBe true
+            lease.mayClaim(NOW + 6_999.milliseconds) shouldBe false
+            lease.recordClaim(OTHER, claim(4, era = 1), NOW + 5.seconds) shouldBe true
+            lease.mayClaim(NOW + 8_999.milliseconds) shouldBe false
+        }
+
         it("continues at once if the newest claim is of its earlier incarnation") {
             val lease = lease()
-            lease.recordClaim(SELF, 1, NOW)
-            lease.claim(NOW, isStopping = false) shouldBe RolloutAction.Claim(lastToken = null)
+            lease.recordClaim(SELF, claim(1), NOW)
+            lease.claim(NOW, isStopping = false) shouldBe RolloutAction.Claim(null)
         }
     }
 })
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -32,7 +32,7 @@
     var lastToken = 0L
 
     /** The store's answer to a claim that is made with a new token at some time. */
-    var claimAnswer: (Long, MonotonicTime) -> ClaimAnswer = ClaimAnswer::Granted
+    var claimAnswer: (ClaimNumber, MonotonicTime) -> ClaimAnswer = ClaimAnswer::Granted
     var orderAnswer = OrderAnswer.ACCEPTED
     val orders = mutableListOf<RolloutAction.Order>()
     private val loads = HashMap<TargetId, Pair<Long, MonotonicTime>>()
@@ -60,8 +60,8 @@
         for (action in actions) {
             when (action) {
                 is RolloutAction.Claim -> {
-                    if (action.lastToken == null) claims++
-                    rollout.onClaimAnswer(claimAnswer(++lastToken, now), now)
+                    if (action.last == null) claims++
+                    rollout.onClaimAnswer(claimAnswer(ClaimNumber(0, ++lastToken), now), now)
                 }
 
                 is RolloutAction.RequestReport -> perform(rollout.onReport(action.target, report(action.target), now))
@@ -206,7 +206,7 @@
             val simulation = RolloutSimulation(1)
             simulation.fleet.recordContact(member("i-2"), serves = true, reachesStore = true, START)
             simulation.lastToken = 3
-            simulation.rollout.recordClaim(InstanceId("i-2"), 3, START)
+            simulation.rollout.recordClaim(InstanceId("i-2"), ClaimNumber(0, 3), START)
             simulation.desired.record(MODEL, 2, START)
             simulation.run(3.9.seconds)
             simulation.claims shouldBe 0
@@ -219,10 +219,10 @@
             val simulation = RolloutSimulation(1)
             simulation.fleet.recordContact(member("i-2"), serves = true, reachesStore = true, START)
             simulation.lastToken = 3
-            simulation.rollout.recordClaim(InstanceId("i-2"), 3, START)
+            simulation.rollout.recordClaim(InstanceId("i-2"), ClaimNumber(0, 3), START)
             simulation.desired.record(MODEL, 2, START)
             simulation.run(1.seconds)
-            simulation.rollout.recordClaim(InstanceId("i-3"), 2, simulation.now)
+            simulation.rollout.recordClaim(InstanceId("i-3"), ClaimNumber(0, 2), simulation.now)
             repeat(8) {
                 simulation.fleet.recordContact(member("i-3"), serves = true, reachesStore = true, simulation.now)
                 simulation.run(500.milliseconds)
@@ -247,7 +247,7 @@
             simulation.desired.record(MODEL, 2, START)
             simulation.run(10.milliseconds)
             simulation.rollout.fencingToken shouldBe 1
-            simulation.rollout.recordClaim(InstanceId("i-2"), 7, simulation.now)
+            simulation.rollout.recordClaim(InstanceId("i-2"), ClaimNumber(0, 7), simulation.now)
             simulation.rollout.fencingToken shouldBe null
         }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import org.cactuspulley.core.forwarding.CachedPrefix
+import org.cactuspulley.core.forwarding.ClaimNumber
 import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.SaveNotice
 import org.cactuspulley.core.forwarding.TokenBucketUsage
@@ -325,7 +326,7 @@
     private fun recordPeerClaim(peer: InstanceId, token: Long) {
         val ownToken = rollout.fencingToken
         val lastHolder = rollout.holder
-        if (!rollout.recordClaim(peer, token, context.clock.now())) return
+        if (!rollout.recordClaim(peer, ClaimNumber.of(token), context.clock.now())) return
         // A holder renews its claim several times a second.
         if (peer != lastHolder) context.log.event("claim_heard", "holder" to peer.text, "fence" to token, "ownFence" to ownToken)
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -250,6 +250,10 @@
     val linkMegabits: Double = 0.0,
 )
 
-/** The record in the platform's log by which the instance [holder], in its [incarnation], claims the right to issue weight orders. */
+/**
+ * The record in the platform's log by which the instance [holder], in its [incarnation], claims the right to issue weight orders.
+ *
+ * @property era the era of the store in which the record was to be written.
+ */
 @Serializable
-internal data class ClaimRecord(val holder: String, val incarnation: Long)
+internal data class ClaimRecord(val holder: String, val incarnation: Long, val era: Long = 0)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.cactuspulley.core.forwarding.ClaimAnswer
+import org.cactuspulley.core.forwarding.ClaimNumber
 import org.cactuspulley.core.forwarding.OrderAnswer
 import org.cactuspulley.core.forwarding.RolloutAction
 import org.cactuspulley.core.forwarding.TargetReport
@@ -42,6 +43,10 @@
     /** When [timer] runs; null if nothing is scheduled. */
     private var timerAt: MonotonicTime? = null
 
+    init {
+        context.storeEra.onRise(::storeRestored)
+    }
+
     /** Executes all actions that are due; must be called after every change of desired weights, targets or peers and every answer. */
     fun advance() {
         if (!hasReadClaim) readClaim()
@@ -65,7 +70,7 @@
 
     private fun execute(actions: List<RolloutAction>): Unit = actions.forEach { action ->
         when (action) {
-            is RolloutAction.Claim -> claim(action.lastToken)
+            is RolloutAction.Claim -> claim(action.last)
             is RolloutAction.RequestReport -> requestReport(action.target)
             is RolloutAction.Order -> sendOrder(action)
         }
@@ -81,37 +86,48 @@
 
     /** Records the newest claim in [batch], which holds the newest record of each key of the topic. */
     private fun recordClaim(batch: RecordBatch) {
+        context.storeEra.recordAnswer(StoreTopic.CLAIMS, batch.era)
         val record = batch.records.firstOrNull { it.key == CLAIM_KEY } ?: return
         val claim = record.value?.let(::decodeClaim)
-        val isNew = rollout.recordClaim(claim?.let { InstanceId(it.holder) }, record.offset + 1, context.clock.now())
-        if (isNew) {
-            context.log.event("claim_read", "holder" to claim?.holder, "incarnation" to claim?.incarnation, "fence" to record.offset + 1)
-        }
+        val number = ClaimNumber(batch.era, record.offset + 1)
+        // Claims that followed one of an earlier era may have been lost, so its holder does not know that it was the last one.
+        val holder = claim?.takeIf { it.era == batch.era }?.let { InstanceId(it.holder) }
+        if (!rollout.recordClaim(holder, number, context.clock.now())) return
+        context.log.event(
+            "claim_read",
+            "holder" to claim?.holder,
+            "incarnation" to claim?.incarnation,
+            "writtenIn" to claim?.era,
+            "fence" to number.fencingToken,
+        )
     }
 
-    private fun claim(lastToken: Long?) {
-        // A token is the offset after the claim, so no other claim has been appended if the topic ends there.
-        if (lastToken != null) return appendClaim(lastToken)
+    private fun claim(last: ClaimNumber?) {
+        // No other claim has been appended if the topic still ends after the last one.
+        if (last != null) return appendClaim(last)
         store.newest(StoreTopic.CLAIMS) { result ->
             result.fold(
                 success = { batch ->
                     recordClaim(batch)
-                    if (rollout.mayClaim(context.clock.now())) appendClaim(batch.next) else claimAnswered(ClaimAnswer.Lost)
+                    val mayClaim = rollout.mayClaim(context.clock.now())
+                    if (mayClaim) appendClaim(ClaimNumber(batch.era, batch.next)) else claimAnswered(ClaimAnswer.Lost)
                 },
                 failure = { claimAnswered(ClaimAnswer.Unknown) },
             )
         }
     }
 
-    private fun appendClaim(end: Long) {
+    /** Appends a claim where the topic ends according to [last]. */
+    private fun appendClaim(last: ClaimNumber) {
         val calledAt = context.clock.now()
         val calledAtMillis = wallClockMillis()
-        store.append(StoreTopic.CLAIMS, CLAIM_KEY, Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim), end) { result ->
+        val record = Cbor.encodeToByteArray(ClaimRecord.serializer(), ownClaim.copy(era = last.era))
+        store.append(StoreTopic.CLAIMS, CLAIM_KEY, record, last.end) { result ->
             claimAnswered(
                 result.fold(
                     success = { appended ->
                         claimMillis = calledAtMillis..calledAtMillis + rollout.claimTerm.inWholeMilliseconds
-                        ClaimAnswer.Granted(appended.offset + 1, calledAt)
+                        claimAppended(appended, last.era, calledAt)
                     },
                     failure = { failure -> if (failure == StoreFailure.Moved) ClaimAnswer.Lost else ClaimAnswer.Unknown },
                 ),
@@ -119,6 +135,18 @@
         }
     }
 
+    /** A store that was restored meanwhile may end at the same offset after other claims. */
+    private fun claimAppended(appended: AppendedRecord, expectedEra: Long, calledAt: MonotonicTime): ClaimAnswer {
+        context.storeEra.recordAnswer(StoreTopic.CLAIMS, appended.era)
+        if (appended.era != expectedEra) return ClaimAnswer.Lost
+        return ClaimAnswer.Granted(ClaimNumber(appended.era, appended.offset + 1), calledAt)
+    }
+
+    /** Lets all claims of the store's earlier eras, which may have been lost, end before the next one is made. */
+    private fun storeRestored() {
+        rollout.recordClaim(null, ClaimNumber(context.storeEra.current, 0), context.clock.now())
+    }
+
     private fun decodeClaim(value: ByteArray): ClaimRecord? = try {
         Cbor.decodeUntrusted(ClaimRecord.serializer(), value)
     } catch (failure: SerializationException) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OrderingSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OrderingSimulation.kt
@@ -53,6 +53,7 @@
     private val events = PriorityQueue(compareBy<Event> { it.at }.thenBy { it.number })
     private var eventCount = 0
     private val claims = mutableListOf<KeyedRecord>()
+    private var era = 0L
     val targets = List(targetCount) { SimulatedTarget(TargetId("t-$it")) }
     private val members = List(size) {
         FleetMember(InstanceId("i-$it"), InstanceIncarnation(1), ZoneName("zone-a"), "10.0.0.$it:1", "10.0.0.$it:2")
@@ -202,6 +203,11 @@
             parts = null
         }
 
+        fun restart() {
+            kill()
+            start()
+        }
+
         /** Stops the event loop until [proceed]. */
         fun stall() {
             isStalled = true
@@ -262,7 +268,7 @@
                 error("claims are not followed")
 
             override fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit) = call(done) {
-                Ok(RecordBatch(claims.takeLast(1), claims.size.toLong()))
+                Ok(RecordBatch(claims.takeLast(1), claims.size.toLong(), era))
             }
 
             override fun append(
@@ -289,7 +295,7 @@
                 val offset = claims.size.toLong()
                 if (expectedEnd != null && expectedEnd != offset) return Err(StoreFailure.Moved)
                 claims += KeyedRecord(key, offset, value)
-                return Ok(AppendedRecord(offset))
+                return Ok(AppendedRecord(offset, era))
             }
 
             private fun <T> call(done: (Result<T, StoreFailure>) -> Unit, execute: () -> Result<T, StoreFailure>) {
@@ -347,6 +353,12 @@
         instances.forEach { it.learnWeights() }
     }
 
+    /** Restores the store from a copy that lacks the last claims, [lost] in number. */
+    fun restoreStore(lost: Int) {
+        repeat(minOf(lost, claims.size)) { claims.removeLast() }
+        era++
+    }
+
     fun run(duration: Duration) = runUntil(duration) { false }
 
     /** Simulates at most [duration]; stops as soon as [condition] holds, and returns whether it does. */
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SingleOrdererSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SingleOrdererSpec.kt
@@ -61,8 +61,7 @@
                     val holder = startRollout()
                     run(delay.milliseconds)
                     val other = instances.first { it !== holder }
-                    other.kill()
-                    other.start()
+                    other.restart()
                     run(2.seconds)
                     targets.forEach { it.ignoresOrders = false }
                     run(10.seconds)
@@ -121,6 +120,31 @@
             }
         }
 
+        // Guards against a claim, or a place after it, that counts although the store has lost it and has given its offset out again.
+        it("are a lease apart although the store is restored from a copy that lacks the last claims") {
+            for (seed in 1..40) {
+                simulateOrders(size = 5, seed = seed) {
+                    val faults = Random(seed)
+                    targets.forEach { it.ignoresOrders = true }
+                    val holder = startRollout()
+                    repeat(3) {
+                        run(faults.nextInt(1_500).milliseconds)
+                        if (faults.nextBoolean()) instances.random(faults).isCutFromPeers = true
+                        restoreStore(lost = faults.nextInt(5))
+                        if (faults.nextBoolean()) holder.restart()
+                    }
+                    run(faults.nextInt(6_000).milliseconds)
+                    targets.forEach { it.ignoresOrders = false }
+                    instances.forEach { it.isCutFromPeers = false }
+                    run(15.seconds)
+                    withClue("seed $seed") {
+                        violations.shouldBeEmpty()
+                        areAllUpdated shouldBe true
+                    }
+                }
+            }
+        }
+
         it("are a lease apart whatever happens to the instances, their links and the claims") {
             for (seed in 1..60) {
                 simulateOrders(size = 4, targets = 4, seed = seed) {
@@ -128,13 +152,14 @@
                     appendFault = { AppendFault.entries.random(faults).takeIf { faults.nextInt(4) == 0 } ?: AppendFault.NONE }
                     repeat(40) {
                         val instance = lastHolder?.takeIf { faults.nextBoolean() } ?: instances[faults.nextInt(instances.size)]
-                        when (faults.nextInt(7)) {
+                        when (faults.nextInt(8)) {
                             0 -> if (instance.isUp) instance.kill() else instance.start()
                             1 -> instance.stall()
                             2 -> instance.proceed()
                             3 -> instance.isCutFromPeers = !instance.isCutFromPeers
                             4 -> instance.isCutFromStore = !instance.isCutFromStore
                             5 -> targets[faults.nextInt(targets.size)].let { it.ignoresOrders = !it.ignoresOrders }
+                            6 -> restoreStore(lost = faults.nextInt(4))
                             else -> nameWeights()
                         }
                         run(faults.nextInt(50, 2_500).milliseconds)
