Mend what an independent review of the order lease found

By reading: the wall clock was compared with the whole term instead of the part in which orders may be sent, and not again when the connection stood; a renewal changed the token; a machine that replaces another under its name counted as the same holder.

The two best-ranked instances read the store once when a renewal is overdue. A holder whose grant comes too late leaves the right to others for one and a half takeovers. Targets that were not ordered serve again while the right lapses. A request with deadlines is not sent if the clocks have drifted apart since it was made. The token stays that of the first claim while it is renewed. A claim names the address of its holder.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
@@ -51,8 +51,16 @@
 
 /** Decides when an instance claims the right to issue orders and how long it holds it; confined to one thread. */
 public class OrderLease(private val self: InstanceId, private val fleet: FleetView, private val settings: RolloutSettings) {
-    /** The newest known claim; [holder] is null if it is not known. Other instances may replace it from [replaceableAt] on. */
-    private data class KnownClaim(val holder: InstanceId?, val number: ClaimNumber, val replaceableAt: MonotonicTime)
+    /**
+     * The newest known claim; [holder] is null if it is not known. If it is not renewed, other instances look for a renewal in the store at
+     * [confirmAt] and may replace it from [replaceableAt] on.
+     */
+    private data class KnownClaim(
+        val holder: InstanceId?,
+        val number: ClaimNumber,
+        val confirmAt: MonotonicTime,
+        val replaceableAt: MonotonicTime,
+    )
 
     private var newest: KnownClaim? = null
     private var isClaiming = false
@@ -60,6 +68,12 @@
     /** Whether the newest claim has to be read from the store before the next one is appended. */
     private var mustRead = true
 
+    /** Whether the claim that is being made renews [last]. */
+    private var isRenewal = false
+
+    /** The claim of another instance for whose renewal the store was read. */
+    private var confirmed: ClaimNumber? = null
+
     /** Whether [claimAt] includes this instance's delay by its rank. */
     private var isStaggered = false
 
@@ -69,9 +83,10 @@
     /** This instance's last claim; null if it has made none, or if a newer claim is known. */
     private var last: ClaimNumber? = null
 
-    /** The fencing token of this instance's last claim; null if it has made none, or if a newer claim is known. */
-    public val fencingToken: Long? get() = last?.fencingToken
+    /** The token of this instance's last claim; null if it has made none, or if a newer claim is known. */
+    public val lastToken: Long? get() = last?.fencingToken
 
+    /** The right that [last] gives. Its token stays that of the first claim while the claim is renewed. */
     private var right: OrderRight? = null
 
     /** The instance that made the newest known claim; null if it is not known. */
@@ -95,7 +110,7 @@
      */
     public fun recordClaim(holder: InstanceId?, number: ClaimNumber, now: MonotonicTime): Boolean {
         if (!isNewer(number)) return false
-        newest = KnownClaim(holder, number, now + settings.takeoverDelay)
+        newest = knownClaim(holder, number, now)
         release()
         return true
     }
@@ -110,14 +125,25 @@
         isClaiming = true
         isStaggered = false
         claimAt = null
-        return RolloutAction.Claim(last.takeIf { !mustRead })
+        isRenewal = last != null && !mustRead
+        return RolloutAction.Claim(last.takeIf { isRenewal })
     }
 
-    /** The last holder continues at once. The others wait until its claim may be replaced, and then by rank. */
+    /**
+     * The last holder continues at once. The others wait until its claim may be replaced, and then by rank. Those with the best ranks read
+     * the store meanwhile: a holder that has ended may have renewed its claim before without anyone having heard of it.
+     */
     private fun isDue(now: MonotonicTime): Boolean {
         val current = newest?.takeIf { now < it.replaceableAt }
         if (current?.holder == self || (current == null && isStaggered)) return true
-        val dueAt = (current?.replaceableAt ?: now) + CLAIM_STAGGER * fleet.rank(CLAIM_SUBJECT, now)
+        val rank = fleet.rank(CLAIM_SUBJECT, now)
+        if (current != null && current.number != confirmed && rank < CONFIRMING_RANKS) {
+            claimAt = current.confirmAt
+            if (now < current.confirmAt) return false
+            confirmed = current.number
+            return true
+        }
+        val dueAt = (current?.replaceableAt ?: now) + CLAIM_STAGGER * rank
         isStaggered = true
         claimAt = dueAt
         return now >= dueAt
@@ -129,11 +155,14 @@
         when (answer) {
             is ClaimAnswer.Granted -> {
                 if (!isNewer(answer.number)) return retry(now)
-                newest = KnownClaim(self, answer.number, now + settings.takeoverDelay)
+                newest = knownClaim(self, answer.number, now)
                 mustRead = false
                 last = answer.number
-                right = OrderRight(answer.number.fencingToken, answer.calledAt + settings.claimTerm - settings.orderTimeout)
+                val token = right?.fencingToken?.takeIf { isRenewal } ?: answer.number.fencingToken
+                right = OrderRight(token, answer.calledAt + settings.orderWindow)
                 claimAt = answer.calledAt + settings.claimTerm * RENEWAL_FRACTION
+                // A holder that the store answers too late leaves the right to others.
+                if (!isHeld(now)) claimAt = now + settings.takeoverDelay * YIELD_FACTOR
             }
 
             ClaimAnswer.Lost -> {
@@ -145,6 +174,9 @@
         }
     }
 
+    private fun knownClaim(holder: InstanceId?, number: ClaimNumber, now: MonotonicTime) =
+        KnownClaim(holder, number, now + settings.claimTerm * CONFIRM_FRACTION, now + settings.takeoverDelay)
+
     private fun isNewer(number: ClaimNumber) = newest?.let { number > it.number } ?: true
 
     private fun retry(now: MonotonicTime) {
@@ -183,7 +215,16 @@
         /** The delay before the next claim if one was lost or the store did not answer. */
         val CLAIM_RETRY_DELAY: Duration = 500.milliseconds
 
-        /** The part of a claim's term after which it is renewed; a second renewal fits into the term if the first is slow. */
+        /** The part of a claim's term after which it is renewed. A renewal that takes as long again is still in time. */
         const val RENEWAL_FRACTION = 0.3
+
+        /** The part of a claim's term after which news of a renewal is overdue. */
+        const val CONFIRM_FRACTION = 0.6
+
+        /** How many instances, in the order of their ranks, look for a renewal in the store. */
+        const val CONFIRMING_RANKS = 2
+
+        /** In how many times the delay of a takeover another instance has had the opportunity for it. */
+        const val YIELD_FACTOR = 1.5
     }
 }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -91,14 +91,18 @@
     /** How long an order may be on its way: a call that takes longer is ended, and what is not delivered by then is discarded. */
     val orderTimeout: Duration get() = claimTerm * ORDER_FRACTION
 
+    /** How long after the call that appends a claim its orders may be sent. */
+    val orderWindow: Duration get() = claimTerm - orderTimeout
+
     /** How long a claim must be known and not be renewed before another instance may replace it. */
     val takeoverDelay: Duration get() = claimTerm + lease
 
     /**
-     * How long after newer weights were named targets may still be drained for them. It leaves time for another instance to take
-     * the claim over and to update all targets before [startLimit].
+     * How long after newer weights were named targets may still be drained for them. If the instance that drains the first batch ends,
+     * another one still updates all targets before [startLimit]; if one ends that drains the last batch, the batch is updated later, and
+     * its targets get no new requests from [startLimit] until then.
      */
-    val drainLimit: Duration get() = (startLimit - takeoverDelay - UPDATE_TIME).coerceAtLeast(Duration.ZERO)
+    val drainLimit: Duration get() = (startLimit - lease - UPDATE_TIME).coerceAtLeast(Duration.ZERO)
 
     /** How long after newer weights were named the first batch of a pool may be drained; the batches share [drainLimit]. */
     val firstDrainLimit: Duration get() = drainLimit / ceil(1.0 / maxConcurrentFraction)
@@ -142,8 +146,8 @@
     /** Whether this instance held the order lease at the last [step]. */
     private var isOrdering = false
 
-    /** The fencing token of this instance's last claim; null if it has made none, or if a newer claim is known. */
-    public val fencingToken: Long? get() = lease.fencingToken
+    /** The token of this instance's last claim; null if it has made none, or if a newer claim is known. */
+    public val lastToken: Long? get() = lease.lastToken
 
     /** The instance that made the newest known claim; null if it is not known. */
     public val holder: InstanceId? get() = lease.holder
@@ -168,8 +172,8 @@
         return true
     }
 
-    /** How long a claim permits orders, counted from the call that appends it. */
-    public val claimTerm: Duration get() = settings.claimTerm
+    /** How long after the call that appends a claim its orders may be sent. */
+    public val orderWindow: Duration get() = settings.orderWindow
 
     /** Returns whether this instance may send an order at [now]. */
     public fun mayOrder(now: MonotonicTime): Boolean = lease.isHeld(now)
@@ -194,14 +198,19 @@
         val actions = mutableListOf<RolloutAction>()
         lease.claim(now, isStopping)?.let(actions::add)
         isOrdering = lease.isHeld(now)
-        if (isOrdering) actions += requestReports(now)
+        updates.values.removeIf { isDone(it) }
+        if (isOrdering) actions += requestReports(now) else forgetDrains(now)
         return actions
     }
 
+    /** Lets targets serve that were not ordered or did not answer, since it is not known when they can be ordered. */
+    private fun forgetDrains(now: MonotonicTime) {
+        updates.values.removeIf { update -> update.orderedAt?.let { now - it > ANSWER_TIMEOUT } ?: true }
+    }
+
     private fun requestReports(now: MonotonicTime): List<RolloutAction> {
         val actions = mutableListOf<RolloutAction>()
         startUpdates(now)
-        updates.values.removeIf { isDone(it) }
         for (update in updates.values) {
             val nextReportAt = update.nextReportAt ?: continue
             if (nextReportAt > now) continue
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -95,7 +95,7 @@
      */
     private fun recipients(): List<HostAndPort> {
         val fleet = state.fleet
-        return addresses(if (fleet.isLarge && rollout.fencingToken == null) fleet.sameZoneMembers else fleet.known)
+        return addresses(if (fleet.isLarge && rollout.lastToken == null) fleet.sameZoneMembers else fleet.known)
     }
 
     /**
@@ -211,7 +211,7 @@
             storeEra = context.storeEra.current,
             operationsNext = operations.replica.nextInCurrentEra(),
             registryNext = registry.replica.nextInCurrentEra(),
-            claimFence = rollout.fencingToken,
+            claimFence = rollout.lastToken,
             uses = state.allTokenBuckets.map { (workspace, bucket) ->
                 bucket.usage(now).let { WorkspaceUsage(workspace.text, it.total, it.perSecond, it.available) }
             },
@@ -324,7 +324,7 @@
     }
 
     private fun recordPeerClaim(peer: InstanceId, token: Long) {
-        val ownToken = rollout.fencingToken
+        val ownToken = rollout.lastToken
         val lastHolder = rollout.holder
         if (!rollout.recordClaim(peer, ClaimNumber.of(token), context.clock.now())) return
         // A holder renews its claim several times a second.
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -254,6 +254,7 @@
  * The record in the platform's log by which the instance [holder], in its [incarnation], claims the right to issue weight orders.
  *
  * @property era the era of the store in which the record was to be written.
+ * @property address the `host:port` at which the instance receives peer messages.
  */
 @Serializable
-internal data class ClaimRecord(val holder: String, val incarnation: Long, val era: Long = 0)
+internal data class ClaimRecord(val holder: String, val incarnation: Long, val era: Long = 0, val address: String = "")
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -104,7 +104,7 @@
         ),
     )
     private val rolloutDriver: RolloutDriver =
-        RolloutDriver(context, ClaimRecord(self.id.text, incarnation), rollout, ports.store, ports.control)
+        RolloutDriver(context, ClaimRecord(self.id.text, incarnation, address = self.peerAddress), rollout, ports.store, ports.control)
     private val operations = StoreFollower(
         context,
         ports.store,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -31,8 +31,8 @@
     private var hasReadClaim = false
 
     /**
-     * The wall-clock times, in Unix milliseconds, between which the last claim of this instance was made and ends. The monotonic clock
-     * does not count the time for which the machine is suspended.
+     * The wall-clock times, in Unix milliseconds, between which the last claim of this instance was made and its orders may be sent. The
+     * monotonic clock does not count the time for which the machine is suspended.
      */
     private var claimMillis = LongRange.EMPTY
     private var timer: Future<*>? = null
@@ -56,7 +56,12 @@
         if (next == timerAt && timer?.isDone == false) return
         timer?.cancel(false)
         timerAt = next
-        timer = next?.let { context.schedule((it - context.clock.now()).coerceAtLeast(Duration.ZERO)) { advance() } }
+        timer = next?.let { context.schedule((it - context.clock.now()).coerceAtLeast(Duration.ZERO)) { timerRan() } }
+    }
+
+    private fun timerRan() {
+        timerAt = null
+        advance()
     }
 
     /** Makes the requests of all instances avoid targets that are drained or load weights. */
@@ -91,7 +96,9 @@
         val claim = record.value?.let(::decodeClaim)
         val number = ClaimNumber(batch.era, record.offset + 1)
         // Claims that followed one of an earlier era may have been lost, so its holder does not know that it was the last one.
-        val holder = claim?.takeIf { it.era == batch.era }?.let { InstanceId(it.holder) }
+        // A machine that replaces another one may bear its name.
+        val holder = claim?.takeIf { it.era == batch.era && (it.holder != ownClaim.holder || it.address == ownClaim.address) }
+            ?.let { InstanceId(it.holder) }
         if (!rollout.recordClaim(holder, number, context.clock.now())) return
         context.log.event(
             "claim_read",
@@ -126,7 +133,7 @@
             claimAnswered(
                 result.fold(
                     success = { appended ->
-                        claimMillis = calledAtMillis..calledAtMillis + rollout.claimTerm.inWholeMilliseconds
+                        claimMillis = calledAtMillis..calledAtMillis + rollout.orderWindow.inWholeMilliseconds
                         claimAppended(appended, last.era, calledAt)
                     },
                     failure = { failure -> if (failure == StoreFailure.Moved) ClaimAnswer.Lost else ClaimAnswer.Unknown },
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
@@ -90,6 +90,7 @@
     private val connectTimeout: Duration = 500.milliseconds,
     private val maximumResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+    private val wallClockMillis: () -> Long = System::currentTimeMillis,
 ) : AutoCloseable {
     private val idleChannels = ConcurrentHashMap<HostAndPort, ConcurrentLinkedDeque<Channel>>()
     private val isClosed = AtomicBoolean()
@@ -97,7 +98,7 @@
     /** Sends [request] to [address]. [onResult] is called once, on a thread of the event loop group unless the client is closed. */
     public fun send(address: HostAndPort, request: PlatformRequest, onResult: (Result<PlatformResponse, PlatformRequestFailure>) -> Unit) {
         if (isClosed.get()) return onResult(Err(PlatformRequestFailure.NotSent("closed")))
-        val pending = PendingRequest(address, request, onResult)
+        val pending = PendingRequest(address, request, clock.now(), wallClockMillis(), onResult)
         val idleChannel = if (request.usesOwnConnection) null else takeIdleChannel(address)
         // The service, or bytes that belong to no request, may have closed a pooled connection before the request is written.
         if (idleChannel != null) write(idleChannel, pending, ifClosed = { connectAndWrite(pending) }) else connectAndWrite(pending)
@@ -141,7 +142,7 @@
             if (handler == null || !channel.isActive) return@execute ifClosed()
             val now = clock.now()
             val expiry = pending.request.expiry
-            if (expiry != null && now >= expiry.sendDeadline) {
+            if (expiry != null && (now >= expiry.sendDeadline || pending.wasSuspended(now, wallClockMillis()))) {
                 channel.close()
                 return@execute pending.finish(Err(PlatformRequestFailure.NotSent("its deadline has passed")))
             }
@@ -201,16 +202,29 @@
 private class PendingRequest(
     val address: HostAndPort,
     val request: PlatformRequest,
+    private val createdAt: MonotonicTime,
+    private val createdAtMillis: Long,
     private val onResult: (Result<PlatformResponse, PlatformRequestFailure>) -> Unit,
 ) {
     private val isFinished = AtomicBoolean()
     var onFinish: () -> Unit = {}
 
+    /** Whether the wall clock has gone on without the monotonic clock, as while the machine is suspended, or was set. */
+    fun wasSuspended(now: MonotonicTime, nowMillis: Long): Boolean {
+        val difference = (nowMillis - createdAtMillis).milliseconds - (now - createdAt)
+        return difference.absoluteValue > MAX_CLOCK_DIFFERENCE
+    }
+
     fun finish(result: Result<PlatformResponse, PlatformRequestFailure>) {
         if (!isFinished.compareAndSet(false, true)) return
         onFinish()
         onResult(result)
     }
+
+    private companion object {
+        /** The clocks are read one after the other, and the wall clock is adjusted slightly. */
+        val MAX_CLOCK_DIFFERENCE = 50.milliseconds
+    }
 }
 
 /** Passes each response on one connection to [pending], the request that was written to the connection. */
