--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
@@ -49,6 +49,25 @@
             directory[id] shouldNotBe null
         }
 
+        // Guards against a target that is left out although a second outage kept it from registering again.
+        it("defers a removal on if there is another outage meanwhile") {
+            val directory = TargetDirectory()
+            directory.upsert(entry("t-1"))
+            directory.registryRecovered(START)
+            directory.remove(id, START) shouldBe DirectoryChange.REMOVAL_DEFERRED
+            directory.registryRecovered(START + 2.seconds)
+            directory.applyDeferredRemovals(START + 4.seconds) shouldBe emptyList()
+            directory.applyDeferredRemovals(START + 5.seconds) shouldBe listOf(id)
+        }
+
+        // Guards against a leaving target whose report, written again after a restore, has a number that is already known.
+        it("marks a target as leaving also by a report with an earlier number") {
+            val directory = TargetDirectory()
+            directory.upsert(entry("t-1", reportNumber = 9))
+            directory.upsert(entry("t-1", leaving = true, reportNumber = 8)) shouldBe DirectoryChange.STALE
+            directory[id]?.let { directory.accepts(it, START) } shouldBe false
+        }
+
         it("removes an entry that was not registered again") {
             val directory = TargetDirectory()
             directory.upsert(entry("t-1"))
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreEra.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreEra.kt
@@ -24,10 +24,10 @@
         isTold = true
     }
 
-    /** Records that [peer] knows [era]. */
-    fun recordPeer(peer: String, era: Long) = record(era, "peer" to peer)
+    /** Records that [peer] knows [era]; a null [peer] stands for the one whose records are being applied. */
+    fun recordPeer(peer: String?, era: Long) = record(era, "peer" to peer)
 
-    private fun record(era: Long, source: Pair<String, String>) {
+    private fun record(era: Long, source: Pair<String, String?>) {
         if (era <= current) return
         val previous = current
         current = era
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/StoreFollower.kt
@@ -202,6 +202,7 @@
      * nor is a part of the topic in a later one, whose other part is not known.
      */
     fun applyRelayed(range: RelayedRange, readAt: MonotonicTime): Boolean {
+        context.storeEra.recordPeer(null, range.era)
         if (range.era < context.storeEra.current || (range.era > replica.era && range.from != null)) {
             context.log.event("relay_ignored", "topic" to topic.name, "era" to range.era, "from" to range.from)
             return false
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/DigestExchangeSpec.kt
@@ -108,6 +108,43 @@
         }
     }
 
+    describe("a fleet whose store was restored from a copy") {
+        fun ExchangeSimulation.relayAll(index: Int, era: Long, next: Long) = instances[index].operations.applyRelayed(
+            RelayedRange(StoreTopic.OPERATIONS, null, next, listOf(RelayedRecord("config", next - 1, byteArrayOf(1))), era = era),
+            now,
+        )
+
+        fun ExchangeSimulation.positions() = instances.map { it.operations.replica.era to it.operations.replica.next }.toSet()
+
+        for (size in listOf(8, 40)) {
+            // Guards against peers that seem to be ahead because their offsets belong to the lost log.
+            it("follows the instance of $size that has read the restored log, although it ends earlier") {
+                simulate(size) {
+                    instances.indices.forEach { relayAll(it, era = 0, next = 9) }
+                    run(4)
+                    relayAll(instances.indexOfFirst { it.state.fleet.isStoreReader(now) }, era = 1, next = 4)
+                    run(8)
+                    positions() shouldBe setOf(1L to 4L)
+                }
+            }
+
+            // Guards against an instance that was cut off during the restore and takes the fleet back to the lost log.
+            it("is not led back by one of $size that was cut off meanwhile, which follows it instead") {
+                simulate(size) {
+                    instances.indices.forEach { relayAll(it, era = 0, next = 9) }
+                    run(4)
+                    instances[3].losesDatagrams = true
+                    (instances.indices - 3).forEach { relayAll(it, era = 2, next = 4) }
+                    run(6)
+                    instances[3].operations.replica.era shouldBe 0
+                    instances[3].losesDatagrams = false
+                    run(8)
+                    positions() shouldBe setOf(2L to 4L)
+                }
+            }
+        }
+    }
+
     describe("records that one instance has read") {
         it("are not sent again before the peers that miss them could have reported it") {
             simulate(40) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -53,53 +53,83 @@
     ) = Unit
 }
 
-/** The log of the target registry, which all instances of a simulation share. */
-internal class RegistryLog {
+/** A topic of the log, which all instances of a simulation share. */
+internal open class SimulatedTopic {
     private val records = mutableListOf<KeyedRecord>()
-    private val startedAtMillis = HashMap<String, Long>()
-    private val reports = HashMap<String, Int>()
     private var firstOffset = 0L
 
-    /** Whether no instance can read the log. */
+    /** Whether no instance can read the topic. */
     var isDown = false
 
+    /** The number of restores so far. */
+    var era = 0L
+        private set
+
     val end: Long get() = records.size.toLong()
 
-    /** Appends a heartbeat of target [id]. */
-    fun report(id: String, state: String = "ready", startedAt: Long = startedAtMillis[id] ?: 1_000) {
-        if (startedAtMillis.put(id, startedAt) != startedAt) reports[id] = 0
-        val number = (reports[id] ?: 0) + 1
-        reports[id] = number
-        append(id, "$state $startedAt $number")
+    /** Appends a record; a null [value] deletes [key]. */
+    fun append(key: String, value: String?) {
+        records += KeyedRecord(key, end, value?.toByteArray())
     }
 
-    /** Appends the removal of the entry of target [id]. */
-    fun remove(id: String) = append(id, null)
-
     /** Deletes the history; the newest record of each key stays available to [newest]. */
     fun compact() {
         firstOffset = end
     }
 
-    private fun append(id: String, value: String?) {
-        records += KeyedRecord(id, end, value?.toByteArray())
+    /** Restores the topic from a copy that ended at [copyEnd]. */
+    fun restore(copyEnd: Long) {
+        records.subList(copyEnd.toInt(), records.size).clear()
+        firstOffset = minOf(firstOffset, copyEnd)
+        era++
     }
 
     fun read(from: Long): Result<RecordBatch, StoreFailure> =
-        if (from < firstOffset) Err(StoreFailure.Compacted) else Ok(RecordBatch(records.filter { it.offset >= from }, end))
+        if (from !in firstOffset..end) Err(StoreFailure.Compacted) else Ok(RecordBatch(records.filter { it.offset >= from }, end, era))
 
     fun newest(): Result<RecordBatch, StoreFailure> =
-        Ok(RecordBatch(records.associateBy { it.key }.values.filter { it.value != null }, end))
+        Ok(RecordBatch(records.associateBy { it.key }.values.filter { it.value != null }, end, era))
 }
 
-/** One instance's access to [log], which refuses it while [isRefused] is set. */
-internal class RegistryStore(private val log: RegistryLog) : RecordStore {
+/** The log of the target registry. */
+internal class RegistryLog : SimulatedTopic() {
+    private val startedAtMillis = HashMap<String, Long>()
+    private val reports = HashMap<String, Int>()
+
+    /** Appends a heartbeat of target [id]. */
+    fun report(id: String, state: String = "ready", startedAt: Long = startedAtMillis[id] ?: 1_000) {
+        if (startedAtMillis.put(id, startedAt) != startedAt) reports[id] = 0
+        val number = (reports[id] ?: 0) + 1
+        reports[id] = number
+        append(id, "$state $startedAt $number")
+    }
+
+    /** Appends the removal of the entry of target [id]. */
+    fun remove(id: String) = append(id, null)
+}
+
+/** One instance's access to [log], which refuses it while [isRefused] is set. Reads that wait for records need [schedule]. */
+internal class RegistryStore(
+    private val log: SimulatedTopic,
+    private val schedule: (Duration, () -> Unit) -> Unit = { _, _ -> error("no read waits") },
+) : RecordStore {
     var isRefused = false
     var reads = 0
 
     override fun read(topic: StoreTopic, from: Long, wait: Duration, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
         reads++
-        done(if (isUnavailable) Err(StoreFailure.Refused(503)) else log.read(from))
+        if (isUnavailable || !wait.isPositive()) return done(if (isUnavailable) Err(StoreFailure.Refused(503)) else log.read(from))
+        awaitRecord(from, wait, log.era, done)
+    }
+
+    /** Answers at the end of [wait], or when there is a record; a read that spans a restore stays unanswered until it times out. */
+    private fun awaitRecord(from: Long, wait: Duration, era: Long, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
+        val isLost = isUnavailable || log.era != era
+        when {
+            wait + LONG_READ_MARGIN <= Duration.ZERO -> done(Err(StoreFailure.Unanswered("no answer")))
+            !isLost && (log.end > from || !wait.isPositive()) -> done(log.read(from))
+            else -> schedule(POLL) { awaitRecord(from, wait - POLL, era, done) }
+        }
     }
 
     override fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
@@ -116,6 +146,22 @@
         expectedEnd: Long?,
         done: (Result<AppendedRecord, StoreFailure>) -> Unit,
     ) = error("This test appends no records")
+
+    private companion object {
+        val POLL = 50.milliseconds
+        val LONG_READ_MARGIN = 500.milliseconds
+    }
+}
+
+/** Keeps the newest version of a configuration whose records are numbers, as an instance does. */
+internal class VersionListener : TopicListener {
+    var version = 0
+        private set
+
+    override fun recordChanged(record: KeyedRecord): Boolean {
+        val newVersion = record.value?.decodeToString()?.toInt() ?: return false
+        return (newVersion > version).also { if (it) version = newVersion }
+    }
 }
 
 /** Decodes the records of [RegistryLog]: a state, a start time and the number of the report. */
@@ -150,6 +196,7 @@
     private val random: Random = Random(1),
     private val bounds: FleetBounds = FleetBounds(),
     joining: Int = 0,
+    private val operationsLog: SimulatedTopic? = null,
 ) {
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private val loop = channel.eventLoop()
@@ -189,9 +236,13 @@
         var losesDatagrams = false
         val store = UnresponsiveStore()
         val registryStore = RegistryStore(registryLog)
+        private val operationsStore = operationsLog?.let { RegistryStore(it, ::schedule) }
         private var parts = Parts()
         val state: ForwardingState get() = parts.state
         val operations: StoreFollower get() = parts.operations
+
+        /** The version of the configuration that is in force, if the simulation has an operators' log. */
+        val version: Int get() = parts.versions.version
         val registry: TargetRegistry get() = parts.registry
         val exchange: DigestExchange get() = parts.exchange
         val leavingTargets: LeavingTargetExchange get() = parts.context.leavingTargets
@@ -211,7 +262,14 @@
                 onCrash = {},
                 sendDigests = {},
             )
-            val operations = StoreFollower(context, store, StoreTopic.OPERATIONS, NoOpListener, null) { false }
+            val versions = VersionListener()
+            val operations: StoreFollower = StoreFollower(
+                context,
+                operationsStore ?: store,
+                StoreTopic.OPERATIONS,
+                if (operationsLog == null) NoOpListener else versions,
+                operationsLog?.let { { LongReadWaits.operations(state.fleet.isFirstStoreReader(now)) } },
+            ) { isCurrent && exchange.shouldReadOperations(now) }
             val registry: TargetRegistry = TargetRegistry(context, registryStore, RegistryRecords) {}
             private val rollout = WeightRollout(member.id, state.directory, state.desiredWeights, state.fleet, state.serviceTimes)
             val exchange: DigestExchange =
@@ -223,13 +281,23 @@
                 announced.forEach(state.fleet::recordAnnouncement)
                 state.fleet.selfServes = true
                 registry.onRead = exchange::registryWasRead
+                operations.onRead = { from, changed -> if (isCurrent && changed.isNotEmpty()) exchange.operationsWereRead(from, changed) }
             }
+
+            private val isCurrent get() = parts === this
         }
 
         /** Restarts the instance; it has no state left, and reads the registry. */
         fun restart() {
             parts = Parts()
             registry.read()
+            if (operationsLog != null) operations.read()
+        }
+
+        /** Makes the store refuse the reads of this instance while [isRefused]. */
+        fun refuseStore(isRefused: Boolean) {
+            registryStore.isRefused = isRefused
+            operationsStore?.isRefused = isRefused
         }
 
         /** Starts an instance that is new to the fleet. */
@@ -268,11 +336,16 @@
         ticks++
         for (instance in instances.filterNot { it.isDown }) {
             instance.registry.advance(now)
+            if (operationsLog != null) instance.operations.resume()
             if (ticks % TICKS_PER_DIGEST == 0) instance.exchange.sendDigests()
             if (ticks % TICKS_PER_BUNDLE == 0) instance.exchange.sendZoneBundle()
         }
     }
 
+    private fun schedule(delay: Duration, action: () -> Unit) {
+        loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
     private fun advanceTime(duration: Duration) {
         now += duration
         channel.advanceTimeBy(duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -297,9 +370,10 @@
     random: Random = Random(1),
     bounds: FleetBounds = FleetBounds(),
     joining: Int = 0,
+    operationsLog: SimulatedTopic? = null,
     action: ExchangeSimulation.() -> T,
 ): T =
-    ExchangeSimulation(size, zones, random, bounds, joining).run {
+    ExchangeSimulation(size, zones, random, bounds, joining, operationsLog).run {
         try {
             action()
         } finally {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -82,6 +82,44 @@
     ) = error("This test appends no records")
 }
 
+/** A store with one topic, which can be restored from a copy and whose answers a test can hold back. */
+private class RestorableStore : RecordStore {
+    val topic = SimulatedTopic()
+    val heldAnswers = mutableListOf<() -> Unit>()
+    var holdsAnswers = false
+    var calls = 0
+
+    override fun read(topic: StoreTopic, from: Long, wait: Duration, done: (Result<RecordBatch, StoreFailure>) -> Unit) =
+        answer(this.topic.read(from), done)
+
+    override fun newest(topic: StoreTopic, done: (Result<RecordBatch, StoreFailure>) -> Unit) = answer(this.topic.newest(), done)
+
+    private fun answer(result: Result<RecordBatch, StoreFailure>, done: (Result<RecordBatch, StoreFailure>) -> Unit) {
+        calls++
+        if (holdsAnswers) heldAnswers += { done(result) } else done(result)
+    }
+
+    override fun append(
+        topic: StoreTopic,
+        key: String,
+        value: ByteArray,
+        expectedEnd: Long?,
+        done: (Result<AppendedRecord, StoreFailure>) -> Unit,
+    ) = error("This test appends no records")
+}
+
+/** Collects the records that it is told of as `key=value`; a deleted key is `key=null`. */
+private class ChangeRecorder : TopicListener {
+    val changes = mutableListOf<String>()
+    var restores = 0
+
+    override fun recordChanged(record: KeyedRecord): Boolean = changes.add("${record.key}=${record.value?.decodeToString()}")
+
+    override fun storeRestored(at: MonotonicTime) {
+        restores++
+    }
+}
+
 /** Throws for the keys in [failures], and collects the other keys. */
 private class FailingListener : TopicListener {
     val failures = mapOf("odd" to IllegalArgumentException("port out of range"), "deep" to StackOverflowError())
@@ -143,6 +181,93 @@
         }
     }
 
+    describe("a topic whose store was restored from a copy") {
+        val store = RestorableStore()
+        val listener = ChangeRecorder()
+        val context = contextOn(EmbeddedChannel().apply { freezeTime() }.eventLoop())
+        val follower = StoreFollower(context, store, StoreTopic.OPERATIONS, listener, null) { false }
+        listOf("a" to "1", "b" to "1", "a" to "2", "b" to "2", "c" to "2").forEach { (key, value) -> store.topic.append(key, value) }
+        follower.read()
+        listener.changes.clear()
+
+        fun relay(era: Long, from: Long?, next: Long, vararg records: Pair<String, String>) = follower.applyRelayed(
+            RelayedRange(
+                StoreTopic.OPERATIONS,
+                from,
+                next,
+                records.mapIndexed { offset, (key, value) -> RelayedRecord(key, offset.toLong(), value.toByteArray()) },
+                era = era,
+            ),
+            clock.now(),
+        )
+
+        // Guards against a record that is ignored because its offset is not above that of a lost one.
+        it("is read as a whole, and again from the new end") {
+            store.topic.restore(2)
+            store.topic.append("a", "3")
+            follower.read()
+            listener.changes shouldBe listOf("a=3", "b=1", "c=null")
+            listener.restores shouldBe 1
+            follower.replica.next shouldBe 3
+            store.topic.append("b", "3")
+            follower.read()
+            listener.changes.last() shouldBe "b=3"
+            follower.replica.next shouldBe 4
+        }
+
+        // Guards against a gap that no 410 shows: the restored log is longer than the former one at the next read.
+        it("is read as a whole also if it has grown past its former end") {
+            listener.changes.clear()
+            store.topic.restore(2)
+            store.topic.append("a", "4")
+            repeat(5) { store.topic.append("d", "$it") }
+            follower.read()
+            listener.changes shouldBe listOf("a=4", "b=1", "d=4")
+            follower.replica.next shouldBe 8
+        }
+
+        // Guards against a slow answer that the store gave before it was restored.
+        it("gets no answer from before the restore applied") {
+            listener.changes.clear()
+            store.topic.append("a", "lost")
+            store.holdsAnswers = true
+            follower.read()
+            store.topic.restore(3)
+            store.topic.append("a", "5")
+            store.holdsAnswers = false
+            context.storeEra.recordPeer("i-2", 3)
+            listener.changes shouldBe listOf("a=5", "b=1", "d=null")
+            store.heldAnswers.forEach { it() }
+            listener.changes.last() shouldBe "d=null"
+            follower.replica.next shouldBe 4
+        }
+
+        // Guards against peers that were cut off, whose positions in the lost log seem to be ahead.
+        it("ignores what peers relay of the former log, and a part of a later one") {
+            listener.changes.clear()
+            relay(era = 2, from = 4, next = 9, "a" to "6") shouldBe false
+            relay(era = 2, from = null, next = 9, "a" to "6") shouldBe false
+            relay(era = 4, from = 4, next = 9, "a" to "6") shouldBe false
+            listener.changes shouldBe emptyList()
+            follower.replica.next shouldBe 4
+        }
+
+        it("accepts the whole later one from a peer, and changes to it") {
+            relay(era = 4, from = null, next = 2, "a" to "6") shouldBe true
+            listener.changes shouldBe listOf("a=6", "b=null")
+            relay(era = 4, from = 2, next = 3) shouldBe true
+            follower.replica.next shouldBe 3
+        }
+
+        // Guards against an answer of the former log that arrives although a later one is known.
+        it("treats an answer of an earlier era as a failed read") {
+            listener.changes.clear()
+            follower.read()
+            listener.changes shouldBe emptyList()
+            follower.isFailing shouldBe true
+        }
+    }
+
     describe("records that are appended one after another while their topic is followed") {
         // Guards against a start of a large fleet in which each announcement ends the long reads of all instances.
         it("are read together if reads have a pause") {
