Name the placeholder that the review's stand does not know

What callers saw: nothing; review/1 and review/2 no longer start, and say only that a placeholder is unknown, before the whole settings.

Cause: the stand renders deploy/node.toml.template with values of its own, and the message did not say which value is missing.

Change: the message names each placeholder without a value. The cases still do not start.

Evidence: review/1/run.sh and review/2/run.sh both end with 2 within a second: no value for {{bounds.retry_window_s}} of deploy/node.toml.template.

--- a/review/stand/Fleet.java
+++ b/review/stand/Fleet.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.MatchResult;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -95,7 +96,8 @@
         for (Map.Entry<String, String> value : values.entrySet()) {
             settings = settings.replace("{{" + value.getKey() + "}}", value.getValue());
         }
-        if (settings.contains("{{")) throw new IllegalStateException("unknown placeholder in the template: " + settings);
+        String missing = Pattern.compile("\\{\\{[^}\\n]*}*").matcher(settings).results().map(MatchResult::group).distinct().collect(Collectors.joining(", "));
+        if (!missing.isEmpty()) throw new IllegalStateException("no value for " + missing + " of deploy/node.toml.template");
         Path file = Files.writeString(folder.resolve(name + ".toml"), settings);
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(root.resolve("deploy/system.toml")));
         if (!run.find()) throw new IllegalStateException("no command in the deploy file");
