Give the review's stand the length of the retry window

What callers saw: nothing; review/1 and review/2 could not run (exit 2) since.

Change: 10 s, the value of the site that both cases are set in.

--- a/review/stand/Fleet.java
+++ b/review/stand/Fleet.java
@@ -91,6 +91,7 @@
             Map.entry("listen.front", "127.0.0.1:" + instance.front), Map.entry("listen.ready", "127.0.0.1:" + instance.ready),
             Map.entry("listen.directory", "127.0.0.1:" + directory), Map.entry("platform.address", store),
             Map.entry("limits.link_mbps", "1000.0"), Map.entry("bounds.retry_budget_ratio", "0.2"), Map.entry("bounds.retry_slack", "54"),
+            Map.entry("bounds.retry_window_s", "10"),
             Map.entry("bounds.quota_window_s", "8"), Map.entry("bounds.quota_overshoot", "0.1"), Map.entry("bounds.quota_slack", "110000"),
             Map.entry("bounds.lease_ms", "3000"), Map.entry("bounds.version_ms", "8000"));
         for (Map.Entry<String, String> value : values.entrySet()) {
