Tell a case of the review that could not run from one that was broken

What callers saw: nothing; review/1/run.sh and review/2/run.sh ended with 1, a broken rule, when the JVM did not get as far as the case.

Cause: a JVM without the main class, or whose main thread dies of an error, ends with 1 as well.

Evidence: without KeptUploads.class, review/1/run.sh ended with 1 before and ends with 2 now.

--- a/review/stand/Fleet.java
+++ b/review/stand/Fleet.java
@@ -30,6 +30,10 @@
         Path log;
     }
 
+    /** The status of a broken rule. A JVM that does not get as far as the case ends with 1. */
+    private static final int BROKEN = 10;
+    private static final int NOT_PLAYED = 2;
+
     private final Path root = Path.of(System.getProperty("root")).toAbsolutePath().normalize();
     private final Path folder;
     private final BufferedWriter record;
@@ -42,12 +46,16 @@
         record = Files.newBufferedWriter(Path.of(recordFile));
     }
 
-    /** Plays a case and ends this process with its result, or with 2 if the case could not be played. */
-    static void exitWith(Callable<Integer> play) {
-        int status = 2;
+    /** Plays a case, which tells whether the rule was broken, and ends this process with its status. */
+    static void exitWith(Callable<Boolean> play) {
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> {
+            error.printStackTrace();
+            System.exit(NOT_PLAYED);
+        });
+        int status = NOT_PLAYED;
         try {
-            status = play.call();
-        } catch (Exception e) {
+            status = play.call() ? BROKEN : 0;
+        } catch (Throwable e) {
             e.printStackTrace();
         }
         System.exit(status);
--- a/review/stand/KeptUploads.java
+++ b/review/stand/KeptUploads.java
@@ -70,7 +70,7 @@
         Fleet.exitWith(() -> play(arguments[0]));
     }
 
-    private static int play(String recordFile) throws Exception {
+    private static boolean play(String recordFile) throws Exception {
         boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
         try (Fleet fleet = new Fleet(recordFile); Store store = new Store(); PlainServer server = new PlainServer(fleet, "i-1", WORK_MILLIS)) {
             store.put("keyed.op", "config", CONFIGURATION);
@@ -91,7 +91,7 @@
             boolean hasEnded = instance.process.waitFor(8, TimeUnit.SECONDS);
             fleet.note("the process has %s 8 s (grace_s) after SIGTERM", hasEnded ? "ended" : "not ended");
             fleet.note("errors in its log: %s", fleet.errors(instance));
-            return isBroken ? 1 : 0;
+            return isBroken;
         }
     }
 
--- a/review/stand/PreemptedStreams.java
+++ b/review/stand/PreemptedStreams.java
@@ -41,7 +41,7 @@
         Fleet.exitWith(() -> play(arguments[0]));
     }
 
-    private static int play(String recordFile) throws Exception {
+    private static boolean play(String recordFile) throws Exception {
         boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
         int broken;
         try (Fleet fleet = new Fleet(recordFile); Store store = new Store();
@@ -56,7 +56,7 @@
             broken = run(fleet, stopped);
         }
         System.out.println(broken + " of " + REQUESTS + " answers were ended against the rule");
-        return broken > 0 ? 1 : 0;
+        return broken > 0;
     }
 
     private static EngineServer server(Fleet fleet, String id, boolean isTroubled) throws IOException {
