Let a case of the review that has shown nothing count as not run

What callers saw: nothing; a case could pass without its disruption, or with a machine that was gone.

Cause: case 1 counts late requests only, and none is late when the machine that is left has ended and refuses every connection; since the process exits without memory, that is how the old fault could show. Case 2 passes when its servers' memory never runs out.

Change: case 1 ends with 2 if the process ended by itself or answered no small request while judged; case 2 if no stream was preempted and none cut. Case 1's record tells how many small requests were served.

Evidence: with the machine that is left killed 32 s after the start, case 1 passed before ("0 of the 0 requests"). With servers of twice the memory, case 2 passed before. Both end with 2 now.

--- a/review/stand/EngineServer.java
+++ b/review/stand/EngineServer.java
@@ -51,6 +51,7 @@
     private final List<Run> runs = new ArrayList<>();
     private final int[] othersPrompts;
     private boolean hasOthers;
+    private boolean hasPreempted;
 
     /** [othersPrompts] are the prompts of urgent runs, sent by other machines, that begin with the first run here. */
     EngineServer(Fleet fleet, String id, int[] othersPrompts, int othersTokens) throws IOException {
@@ -91,6 +92,11 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Whether the memory ran out and a stream that a machine of the case passes on was preempted. */
+    synchronized boolean hasPreempted() {
+        return hasPreempted;
+    }
+
     private void serve(Socket socket) throws Exception {
         socket.setTcpNoDelay(true);
         InputStream input = new BufferedInputStream(socket.getInputStream());
@@ -139,6 +145,7 @@
             Run yielding = runs.stream().filter(other -> other.isInMemory)
                 .max(Comparator.<Run>comparingInt(other -> other.priority).thenComparingInt(runs::indexOf)).orElseThrow();
             yielding.isInMemory = false;
+            if (yielding.output != null) hasPreempted = true;
             fleet.note("%s preempts %s after event %d", id, yielding.request, yielding.event - 1);
             if (yielding == run) return false;
         }
--- a/review/stand/KeptUploads.java
+++ b/review/stand/KeptUploads.java
@@ -58,6 +58,7 @@
     private final Map<String, Integer> ends = new TreeMap<>();
     private final Map<String, Integer> ordinaryEnds = new TreeMap<>();
     private volatile long judgedFrom = Long.MAX_VALUE;
+    private int servedRequests;
     private int lateAnswers;
     private int missingAnswers;
 
@@ -87,6 +88,7 @@
             Fleet.Instance instance = left.get(0);
             KeptUploads play = new KeptUploads(fleet, left);
             boolean isBroken = play.run();
+            if (!instance.process.isAlive()) throw new IllegalStateException("the process ended by itself: " + fleet.errors(instance));
             fleet.signal(instance, "TERM");
             boolean hasEnded = instance.process.waitFor(8, TimeUnit.SECONDS);
             fleet.note("the process has %s 8 s (grace_s) after SIGTERM", hasEnded ? "ended" : "not ended");
@@ -118,8 +120,9 @@
         for (Thread thread : threads) thread.join(JUDGED_AFTER_MILLIS + JUDGED_MILLIS + 5_000);
         synchronized (this) {
             fleet.note("ordinary requests: %s", ordinaryEnds);
-            fleet.note("small requests while judged: %d without an answer at their route's timeout, %d of them without one %d ms later",
-                lateAnswers, missingAnswers, SLACK_MILLIS);
+            fleet.note("small requests while judged: %d served, %d without an answer at their route's timeout, %d of them without one %d ms later",
+                servedRequests, lateAnswers, missingAnswers, SLACK_MILLIS);
+            if (servedRequests == 0 && lateAnswers == 0) throw new IllegalStateException("no small request was answered while judged");
             System.out.println(missingAnswers + " of the " + lateAnswers + " requests that were late had no answer half a second later");
             return missingAnswers * 2 > lateAnswers;
         }
@@ -221,10 +224,11 @@
                 end = "closed";
             }
             long took = fleet.now() - sentAt;
-            if (sentAt >= judgedFrom && took >= TIMEOUT_MILLIS) {
+            if (sentAt >= judgedFrom) {
                 synchronized (this) {
-                    lateAnswers++;
+                    if (took >= TIMEOUT_MILLIS) lateAnswers++;
                     if (took >= TIMEOUT_MILLIS + SLACK_MILLIS) missingAnswers++;
+                    if (end.contains(" 200 ")) servedRequests++;
                 }
             }
             if (!end.contains(" 200 ") || took >= TIMEOUT_MILLIS) fleet.note("client's answer to %s: %s, after %d ms", id, end, took);
--- a/review/stand/PreemptedStreams.java
+++ b/review/stand/PreemptedStreams.java
@@ -54,6 +54,7 @@
             fleet.awaitReady(other);
             Thread.sleep(5_000);
             broken = run(fleet, stopped);
+            if (broken == 0 && isTroubled && !first.hasPreempted() && !second.hasPreempted()) throw new IllegalStateException("no stream was preempted");
         }
         System.out.println(broken + " of " + REQUESTS + " answers were ended against the rule");
         return broken > 0;
