Leave a removed target out of use although a restored registry lists it

Cause: in a fleet, an instance sees only changed records, so that the report number that it knows of a removed target is older than the copy's, whose entry looks like a later report.

After a restore, the first entry of a removed target only tells how far its reports were; the target is used after another report, or at once if it has started again.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -25,6 +25,8 @@
 
     /** The pauses that targets asked for, by their starts; an entry may be removed and registered again meanwhile. */
     private val pauses = HashMap<TargetId, Pause>()
+    /** The removed targets whose next entry may come from the copy that the registry was restored from. */
+    private val awaitedReports = HashSet<TargetId>()
     private val deferredRemovals = LinkedHashMap<TargetId, MonotonicTime>()
     private var poolMembers: Map<PoolName, List<Target>> = emptyMap()
 
@@ -67,7 +69,7 @@
     /** Records that [version] of the weights of [model] was named, which targets may load. */
     public fun weightsNamed(model: ModelName, version: Long): Unit = targets.values.forEach { it.weightsNamed(model, version) }
 
-    /** Records that the registry became readable again at [now] after an outage, or was restored from a copy that may lack entries. */
+    /** Records that the registry became readable again at [now] after an outage. */
     public fun registryRecovered(now: MonotonicTime) {
         val until = maxOf(deferRemovalsUntil ?: now, now + recoveryGracePeriod)
         deferRemovalsUntil = until
@@ -75,13 +77,23 @@
         deferredRemovals.replaceAll { _, _ -> until }
     }
 
+    /**
+     * Records that the registry was restored at [now] from a copy, which may lack entries and may list targets that were removed since. A
+     * removed target is used again only once it reports after the entry that is seen first.
+     */
+    public fun registryRestored(now: MonotonicTime) {
+        registryRecovered(now)
+        awaitedReports += latestEntries.keys - targets.keys
+    }
+
     /** Applies an entry that a target published and returns how the directory changed. */
     public fun upsert(entry: TargetEntry): DirectoryChange {
         val current = targets[entry.id]
         // A target leaves for good, whatever it reported before or after.
         if (entry.isLeaving) recordLeaving(entry.id, entry.startedAtMillis)
         if (isStale(entry, current)) return DirectoryChange.STALE
-        latestEntries[entry.id] = entry
+        val startedAtMillis = latestEntries.put(entry.id, entry)?.startedAtMillis
+        if (awaitedReports.remove(entry.id) && entry.startedAtMillis == startedAtMillis) return DirectoryChange.STALE
         deferredRemovals.remove(entry.id)
         val change = when {
             current == null -> DirectoryChange.ADDED
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetDirectorySpec.kt
@@ -68,6 +68,25 @@
             directory[id]?.let { directory.accepts(it, START) } shouldBe false
         }
 
+        // Guards against requests to a target that has left, because a restored registry lists it as it was before.
+        it("uses a removed target that a restored registry lists only after another report") {
+            val directory = TargetDirectory()
+            directory.upsert(entry("t-1", reportNumber = 1))
+            directory.remove(id, START)
+            directory.registryRestored(START)
+            directory.upsert(entry("t-1", reportNumber = 6)) shouldBe DirectoryChange.STALE
+            directory.upsert(entry("t-1", reportNumber = 6)) shouldBe DirectoryChange.STALE
+            directory.upsert(entry("t-1", reportNumber = 7)) shouldBe DirectoryChange.ADDED
+        }
+
+        it("uses a later start of a removed target at once, also after its registry was restored") {
+            val directory = TargetDirectory()
+            directory.upsert(entry("t-1", startedAt = 1_000))
+            directory.remove(id, START)
+            directory.registryRestored(START)
+            directory.upsert(entry("t-1", startedAt = 2_000)) shouldBe DirectoryChange.ADDED
+        }
+
         it("removes an entry that was not registered again") {
             val directory = TargetDirectory()
             directory.upsert(entry("t-1"))
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -127,7 +127,7 @@
         }
 
         /** Targets whose entries the copy lacks register again as after an outage, however short the store was away. */
-        override fun storeRestored(at: MonotonicTime) = state.directory.registryRecovered(at)
+        override fun storeRestored(at: MonotonicTime) = state.directory.registryRestored(at)
     }
 
     private companion object {
