Do not let the timer of a stopping instance run without a pause

An instance that stops, does not hold the order lease and has waited for a claim had its next step at a time that had passed, and since the timer is set again after it has run, it would have run without a pause until the stop. Found by reading the change; no such instance was released. The wait ends now: OrderLeaseSpec expects no deadline.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
@@ -121,7 +121,10 @@
      */
     public fun claim(now: MonotonicTime, isStopping: Boolean): RolloutAction.Claim? {
         if (isClaiming || claimAt?.let { now < it } ?: false) return null
-        if (!isHeld(now) && (isStopping || !isDue(now))) return null
+        if (!isHeld(now)) {
+            if (isStopping) claimAt = null
+            if (isStopping || !isDue(now)) return null
+        }
         isClaiming = true
         isStaggered = false
         claimAt = null
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/OrderLeaseSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/OrderLeaseSpec.kt
@@ -103,6 +103,8 @@
             lease.claim(NOW + 300.milliseconds, isStopping = true).shouldNotBeNull()
             lease.onClaimAnswer(ClaimAnswer.Unknown, NOW + 1.seconds)
             lease.claim(NOW + 5.seconds, isStopping = true).shouldBeNull()
+            // A time that has passed would make the caller's timer run without a pause.
+            lease.nextDeadline.shouldBeNull()
         }
     }
 
