--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -25,6 +25,7 @@
 
     /** The pauses that targets asked for, by their starts; an entry may be removed and registered again meanwhile. */
     private val pauses = HashMap<TargetId, Pause>()
+
     /** The removed targets whose next entry may come from the copy that the registry was restored from. */
     private val awaitedReports = HashSet<TargetId>()
     private val deferredRemovals = LinkedHashMap<TargetId, MonotonicTime>()
