Look at the caller again right before a request is sent

Cause: after a start, connections wait to be accepted, and their request is read one pass of the event loop before their close; and classes are loaded between the last look at the caller and the first byte of the request. Change: the first request of a connection starts after one more pass. The request is encoded first; then the loop's delay, the caller, the deadline, the connection and the target are checked, and its bytes go out.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -47,6 +47,7 @@
     private var runningBytes = 0
     private var exchange: ForwardedExchange? = null
     private var isBusy = false
+    private var isFirstRequest = true
     private var isClosing = false
 
     /** The time at which the last bytes arrived or the last response ended. */
@@ -109,8 +110,11 @@
         body = ByteArrayOutputStream(0)
         recordMemory()
         if (pipelined.size > MAX_PIPELINED) return refuseAndClose(ForwardingRefusal.MALFORMED)
-        // After a delay of the event loop, the caller may have closed the connection already without the close having been read.
-        if (context.loopDelay.isDelayed(lastActive)) context.afterNextRead(::startNext) else startNext()
+        // The caller may have closed the connection already without the close having been read: after a delay of the event loop, and if
+        // the connection waited to be accepted, as many do after a start.
+        val mayBeClosed = isFirstRequest || context.loopDelay.isDelayed(lastActive)
+        isFirstRequest = false
+        if (mayBeClosed) context.afterNextRead(::startNext) else startNext()
     }
 
     /** Records what the requests of this connection hold; returns false if that is too much. A body that grows has twice its size. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/LoopDelayMonitor.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/LoopDelayMonitor.kt
@@ -29,6 +29,9 @@
     /** Whether data that is read at [now] may have waited for the event loop for longer than [THRESHOLD]. */
     fun isDelayed(now: MonotonicTime): Boolean = now < catchUpUntil || now - tickedAt - period > THRESHOLD
 
+    /** Whether the timer is so late at [now] that the connections have not been read for a while. */
+    fun isOverdue(now: MonotonicTime): Boolean = now - tickedAt - period > OVERDUE
+
     /** The earliest time at which news that arrives at [now] may have become available; earlier than [now] only after a delay. */
     fun earliestOrigin(now: MonotonicTime): MonotonicTime {
         if (now - tickedAt - period > THRESHOLD) return tickedAt
@@ -40,6 +43,9 @@
         /** The shortest delay that matters: half of the time within which targets must learn that a caller has disconnected. */
         val THRESHOLD = 250.milliseconds
 
+        /** A fifth of [THRESHOLD]; the timer of a loop that is not busy is late by a few milliseconds at most. */
+        private val OVERDUE = 50.milliseconds
+
         /** The time needed to read what arrived during a delay, on about a hundred connections. */
         private val CATCH_UP = 100.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -139,8 +139,9 @@
     var requestsOnConnection: Int? = null
         private set
 
-    /** Whether the request has been written to a connection. */
-    val isWritten: Boolean get() = channel != null
+    /** Whether bytes of the request may have left this instance. */
+    var isWritten = false
+        private set
 
     /** Whether a stream was requested and has sent no content, so that the request may still wait at the target. */
     val isWaiting: Boolean get() = grant.route.isStream && isWritten && !isClosed && !hasContent
@@ -157,12 +158,7 @@
         target.load.add(units)
         admission = state.rateLimits.admit(target, startedAt)
         context.connections.acquire(target.id, address, request.id) { channel ->
-            // After a delay of the event loop, the caller may have disconnected already without that having been read.
-            if (context.loopDelay.isDelayed(context.clock.now())) {
-                context.afterNextRead { connected(channel, address) }
-            } else {
-                connected(channel, address)
-            }
+            connected(channel, address)
         }
     }
 
@@ -188,11 +184,50 @@
             return observer.failed(this, SendFailure.RATE_LIMITED, "the rate limit of the target leaves no room")
         }
         channel = connection
+        encode(connection)
+        sendOnceRead(connection, address, hasBeenRead = false)
+    }
+
+    /**
+     * Sends the encoded request, unless its caller has left or its deadline has passed. The event loop may have been busy, for example with
+     * loading classes to encode the request, so that a close of the caller's connection has not been read; the request then waits until all
+     * connections have been read once more. [hasBeenRead] says that it has waited for that.
+     */
+    private fun sendOnceRead(connection: Channel, address: HostAndPort, hasBeenRead: Boolean) {
+        if (isClosed) return
+        val now = context.clock.now()
+        if (context.loopDelay.isOverdue(now) || (!hasBeenRead && context.loopDelay.isDelayed(now))) {
+            return context.afterNextRead { sendOnceRead(connection, address, hasBeenRead = true) }
+        }
+        when {
+            observer.isEnded -> abandon(connection)
+            !connection.isActive -> failUnsent(connection, SendFailure.UNREACHABLE, "the connection ended before the request was sent")
+            now >= progress.deadline -> failUnsent(connection, SendFailure.NOT_SENT, "the deadline passed before the request was sent")
+            !state.directory.accepts(target, now) -> failUnsent(connection, SendFailure.NOT_SENT, "the target no longer accepts requests")
+            else -> send(connection, address)
+        }
+    }
+
+    private fun failUnsent(connection: Channel, failure: SendFailure, reason: String) {
+        abandon(connection)
+        observer.failed(this, failure, reason)
+    }
+
+    /** Closes a connection that holds an encoded request of which nothing was sent. */
+    private fun abandon(connection: Channel) {
+        channel = null
+        connection.close()
+        close()
+    }
+
+    private fun send(connection: Channel, address: HostAndPort) {
+        isWritten = true
+        sentAt = context.clock.now()
         val handler = connection.pipeline().get(TargetResponseHandler::class.java)
         handler.assign(this)
         requestsOnConnection = handler.requestCount
         progress.recordSent()
-        write(connection)
+        connection.flush()
         silence.start(address)
     }
 
@@ -203,9 +238,9 @@
     /** Whether a connection to the target may serve further requests. */
     private val isTargetStaying: Boolean get() = state.directory.isCurrent(target) && !target.isLeaving
 
-    private fun write(connection: Channel) {
+    /** Encodes the request into the buffer of [connection], without sending it. */
+    private fun encode(connection: Channel) {
         val now = context.clock.now()
-        sentAt = now
         // A connection that has failed silently ends with the probes. Others may outlast an interruption of the network, so that a
         // request that can't be sent again still gets its response.
         connection.config().setOption(ChannelOption.SO_KEEPALIVE, grant.route.repeatability == Repeatability.RESUMABLE)
@@ -224,7 +259,7 @@
         )
         if (state.cache.hasUrgentNotices) context.scheduleDigest()
         connection.write(context.targetProtocol.request(message))
-        connection.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(granted.body)))
+        connection.write(DefaultLastHttpContent(Unpooled.wrappedBuffer(granted.body)))
             .addListener { if (it.isSuccess) bodyWritten = true }
     }
 
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import org.cactuspulley.core.forwarding.FleetMember
@@ -69,9 +70,12 @@
     override fun closed(attempt: SendAttempt) = Unit
 }
 
-/** Requests without headers. */
-private object PlainRequests : TargetProtocol by NoTargets {
-    override fun request(send: TargetRequest) = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/file/1")
+/** Requests without headers; calls [beforeEncoding] first. */
+private class PlainRequests(private val beforeEncoding: () -> Unit) : TargetProtocol by NoTargets {
+    override fun request(send: TargetRequest): HttpRequest {
+        beforeEncoding()
+        return DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/file/1")
+    }
 }
 
 /** An attempt whose connection is established when a test says so. */
@@ -79,6 +83,10 @@
     private val loopChannel = EmbeddedChannel()
     private val loop = loopChannel.eventLoop()
     private var now = NOW
+
+    /** How long the event loop is busy with encoding the request, as it is while it loads classes. */
+    var encodingTime = Duration.ZERO
+    private val loopDelay = LoopDelayMonitor(100.milliseconds, NOW)
     private val clock = MonotonicClock { now }
     private val member = FleetMember(InstanceId("i-1"), InstanceIncarnation(1), ZoneName("zone-a"), "10.0.0.1:1", "10.0.0.1:2")
     private var onReady: ((Channel?) -> Unit)? = null
@@ -87,10 +95,10 @@
         loop,
         clock,
         state,
-        PlainRequests,
+        PlainRequests { now += encodingTime },
         TargetConnectionPool(loop, clock) { _, onReady -> this.onReady = onReady },
         DecisionLog(ForwardingMetrics()),
-        LoopDelayMonitor(100.milliseconds, NOW),
+        loopDelay,
         onCrash = {},
         sendDigests = {},
     )
@@ -120,8 +128,9 @@
         now += duration
     }
 
-    /** Lets the event loop run what is due, as it does after it has read its connections. */
+    /** Lets the event loop run what is due, its timer first, as it does after it has read its connections. */
     fun runLoop() = repeat(2) {
+        loopDelay.recordTick(now)
         loopChannel.runPendingTasks()
         loopChannel.runScheduledPendingTasks()
     }
@@ -182,6 +191,50 @@
         }
     }
 
+    describe("an attempt whose request takes long to encode on the event loop") {
+        // Guards against requests that reach a target after their callers have left (rule GONE): right after a start, classes are loaded
+        // between the last look at the caller and the first byte of the request.
+        it("sends nothing if the caller has disconnected meanwhile") {
+            val attempt = PendingAttempt()
+            attempt.encodingTime = 600.milliseconds
+            attempt.connected()
+            attempt.observer.isEnded = true
+            attempt.runLoop()
+            attempt.sentMessages shouldBe 0
+        }
+
+        // Guards against the same if many requests wait for one read: the first of them keep the loop busy after it.
+        it("looks for the caller again after each long wait") {
+            val attempt = PendingAttempt()
+            attempt.delayLoop(400.milliseconds)
+            attempt.encodingTime = 600.milliseconds
+            attempt.connected()
+            attempt.delayLoop(600.milliseconds)
+            attempt.sentMessages shouldBe 0
+            attempt.observer.isEnded = true
+            attempt.runLoop()
+            attempt.sentMessages shouldBe 0
+        }
+
+        // Guards against requests that reach a target after their deadline, whose timer runs late on a busy loop.
+        it("sends nothing if the deadline has passed meanwhile") {
+            val attempt = PendingAttempt()
+            attempt.encodingTime = 1_200.milliseconds
+            attempt.connected()
+            attempt.runLoop()
+            attempt.sentMessages shouldBe 0
+            attempt.observer.failures shouldBe listOf(SendFailure.NOT_SENT)
+        }
+
+        it("sends the request if the caller is still there") {
+            val attempt = PendingAttempt()
+            attempt.encodingTime = 600.milliseconds
+            attempt.connected()
+            attempt.runLoop()
+            attempt.sentMessages shouldBe 2
+        }
+    }
+
     describe("an attempt without a delay") {
         it("sends the request as soon as the connection is established") {
             val attempt = PendingAttempt()
