--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -77,7 +77,7 @@
     )
     private val metrics = ForwardingMetrics()
     private val log = DecisionLog(metrics)
-    private val state = ForwardingState(self, settings.bounds, clock.now())
+    private val state = ForwardingState(self, settings.bounds, clock.now(), routing = settings.routing)
     private val context = ForwardingContext(
         loop,
         clock,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -21,6 +21,7 @@
 import org.cactuspulley.core.quarantine.CrashTracker
 import org.cactuspulley.core.requests.RetryBudget
 import org.cactuspulley.runtime.settings.FleetBounds
+import org.cactuspulley.runtime.settings.RoutingSettings
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -32,6 +33,7 @@
     private val bounds: FleetBounds,
     private val startedAt: MonotonicTime,
     random: Random = Random.Default,
+    val routing: RoutingSettings = RoutingSettings(),
 ) {
     /** The current configuration, by which requests are authorized. */
     val authorizer = RequestAuthorizer()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -15,6 +15,7 @@
     val store: StoreSettings,
     val link: LinkSettings = LinkSettings(),
     val bounds: FleetBounds = FleetBounds(),
+    val routing: RoutingSettings = RoutingSettings(),
     val log: LogSettings = LogSettings(LogFormat.JSON.text),
     val stop: StopSettings = StopSettings(),
 )
@@ -67,6 +68,22 @@
     @SerialName("start_limit_millis") @Serializable(LenientDoubleSerializer::class) val startLimitMillis: Double = 8_000.0,
 )
 
+/**
+ * The parts of target selection and queueing that a deployment may enable.
+ *
+ * @property capacityAdmission whether requests are sent only to targets that have slots and memory for them.
+ * @property fairQueueing whether waiting requests are ordered by due time and by what their workspaces have consumed.
+ * @property targetSpeed whether slow targets get proportionally less.
+ * @property zoneBalancing whether requests leave their zone only if that pays off.
+ */
+@Serializable
+public data class RoutingSettings(
+    @SerialName("capacity_admission") val capacityAdmission: Boolean = false,
+    @SerialName("fair_queueing") val fairQueueing: Boolean = false,
+    @SerialName("target_speed") val targetSpeed: Boolean = false,
+    @SerialName("zone_balancing") val zoneBalancing: Boolean = false,
+)
+
 /** Returns the first invalid value of [settings], which were read from [file], or null if all values are valid. */
 internal fun validate(settings: ForwardingSettings, file: String): SettingsError? {
     val addresses =
