--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -356,6 +356,7 @@
                     announcement.linkMegabits,
                 ),
             )
+            if (state.fleet.isAnnounced) metrics.fleetKnown(state.fleet.size)
             context.scheduleDigest()
             return true
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -25,6 +25,9 @@
     private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
         .help("The version of the configuration in force; 0 before the first").register(registry)
 
+    private val fleetInstances = Gauge.builder().name("cactuspulley_fleet_instances")
+        .help("The instances that have announced themselves, this one included; 0 before its own announcement was read").register(registry)
+
     fun delivered(pool: String, duration: Duration, timing: StreamTiming) {
         responses.labelValues(pool).observe(duration.toDouble(DurationUnit.SECONDS))
         val timeToFirstEvent = timing.timeToFirstEvent ?: return
@@ -46,6 +49,8 @@
 
     fun configured(version: Long) = configurationVersion.set(version.toDouble())
 
+    fun fleetKnown(instances: Int) = fleetInstances.set(instances.toDouble())
+
     fun event(name: String) = events.labelValues(name).inc()
 
     /** Returns all metrics in the Prometheus text format. */
