--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetHealth.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetHealth.kt
@@ -157,5 +157,12 @@
  * @property waiting the number of queued requests.
  * @property slots the number of requests that the target runs at the same time.
  * @property at the time at which the report arrived.
+ * @property slowdown how long work takes at the target, as a multiple of the usual time; null if the target did not say.
  */
-public data class ReportedLoad(val running: Int, val waiting: Int, val slots: Int, val at: MonotonicTime)
+public data class ReportedLoad(
+    val running: Int,
+    val waiting: Int,
+    val slots: Int,
+    val at: MonotonicTime,
+    val slowdown: Double? = null,
+)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingProtocol.kt
@@ -114,8 +114,9 @@
  * @property running the number of requests that run.
  * @property waiting the number of requests that are queued.
  * @property slots the number of requests that the target can run concurrently.
+ * @property slowdown how long work takes now, as a multiple of the usual time; null if the target does not say.
  */
-public data class ServerLoad(val running: Int, val waiting: Int, val slots: Int)
+public data class ServerLoad(val running: Int, val waiting: Int, val slots: Int, val slowdown: Double? = null)
 
 /** Creates requests to targets and parses their responses. */
 public interface TargetProtocol {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -290,7 +290,7 @@
         this.response = response
         silence.recordActivity()
         if (!grant.route.isStream && head.status in SUCCESS) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
-        head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
+        head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt, it.slowdown)) }
         if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
         if (grant.route.isStream && head.status in STREAM_SUCCESS && head.isSigned) beginStream(response)
