Select targets within the own zone and leave it when it would miss the objective

With zone_balancing, affinity, load limit and mean load apply to the targets of one zone. A request leaves its zone if no target there is expected to start it within its objective and another zone can; the share that leaves changes gradually. Callers get the addresses of their own zone only while it suffices.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -141,9 +141,14 @@
     /** Returns the time of the last contact with [id]; null if there was none. */
     public fun lastContactAt(id: InstanceId): MonotonicTime? = peers[id]?.lastContactAt
 
-    /** Returns the caller addresses of the serving instances, this one included; those in [preferredZone] come first. */
-    public fun callerAddresses(preferredZone: ZoneName?, now: MonotonicTime): List<String> {
+    /**
+     * Returns the caller addresses of the serving instances, this one included; those in [preferredZone] come first. If that [zoneSuffices]
+     * and at least [MIN_ZONE_INSTANCES] serve there, only these are returned, because callers use any of the addresses alike.
+     */
+    public fun callerAddresses(preferredZone: ZoneName?, now: MonotonicTime, zoneSuffices: Boolean = false): List<String> {
         val serving = peers.values.filter { it.serves && isLive(it, now) }.map { it.member } + listOf(self).filter { selfServes }
+        val inZone = serving.filter { it.zone == preferredZone }
+        if (zoneSuffices && inZone.size >= MIN_ZONE_INSTANCES) return inZone.map { it.callerAddress }.take(MAX_ADDRESSES)
         return serving.sortedBy { it.zone != preferredZone }.map { it.callerAddress }.take(MAX_ADDRESSES)
     }
 
@@ -225,6 +230,9 @@
         /** The size of a small fleet; a store that rejects some instances seldom rejects this many. */
         const val STORE_CHECKERS = 8
 
+        /** With two instances, callers of the zone are still served if one of them is lost. */
+        const val MIN_ZONE_INSTANCES = 2
+
         /** The largest number of addresses in a response to a caller. */
         const val MAX_ADDRESSES = 64
     }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -21,6 +21,7 @@
  *    target.
  * @property isLastResort whether an excluded target is better than none, because the request would otherwise be
  *    refused.
+ * @property terms what the choice between zones depends on; null if the request stays in its zone whenever a target there accepts it.
  */
 public data class SelectionCriteria(
     val grant: ForwardingGrant,
@@ -30,6 +31,7 @@
     val preferredWeights: Long?,
     val affinity: Long? = prompt?.affinity,
     val isLastResort: Boolean = false,
+    val terms: RequestTerms? = null,
 )
 
 /** When a target may accept a request that none accepts now. */
@@ -57,12 +59,15 @@
  * instances agree without communication, and to the next target while the first one's load exceeds the limit derived
  * from the pool's mean load and the work that the prefix saves. Other requests go to the least loaded target, preferably
  * in the instance's own zone.
+ *
+ * With a [zoneBalance], all of this applies to the targets of one zone, which the balance decides on first.
  */
 public class TargetSelector(
     private val directory: TargetDirectory,
     private val zone: ZoneName,
     private val rateLimits: TargetRateLimits,
     private val random: Random = Random.Default,
+    private val zoneBalance: ZoneBalance? = null,
 ) {
     /** Returns the target for [criteria], or null if no target can accept the request now. */
     public fun select(criteria: SelectionCriteria, now: MonotonicTime): Target? {
@@ -73,8 +78,52 @@
         if (healthy.isEmpty()) return if (criteria.isLastResort) eligible.minBy { it.health.excludedUntil ?: now } else null
         val notLoading = if (criteria.prompt == null) healthy else healthy.filterNot { isLoading(it, now) }.ifEmpty { healthy }
         notLoading.firstOrNull { rateLimits.isUnconfirmed(it, now) && hasPreferredWeights(it, criteria, now) }?.let { return it }
-        val prompt = criteria.prompt ?: return leastLoaded(healthy, now)
-        return byAffinity(notLoading, prompt.model, criteria, now)
+        val prompt = criteria.prompt ?: return withinZone(healthy, criteria, now) { leastLoaded(it, now) }
+        return withinZone(notLoading, criteria, now) { byAffinity(it, prompt.model, criteria, now) }
+    }
+
+    /**
+     * Returns the target that [choose] selects among those of one zone: the own one, or the others if the request leaves it. If the
+     * request would be late there, the target of that zone that is expected to start it first replaces one that starts it too late.
+     */
+    private fun withinZone(
+        candidates: List<Target>,
+        criteria: SelectionCriteria,
+        now: MonotonicTime,
+        choose: (List<Target>) -> Target,
+    ): Target {
+        val balance = zoneBalance ?: return choose(candidates)
+        val flow = ZoneFlow(criteria.grant.pool, criteria.grant.route.name)
+        val (own, others) = candidates.partition { it.entry.zone == zone }
+        if (own.isEmpty()) {
+            // A request that has failed at targets of the zone says nothing about the others.
+            if (directory.members(criteria.grant.pool).none { it.id in criteria.excluded && it.entry.zone == zone }) {
+                balance.recordForcedLeaving(flow, now)
+            }
+            return choose(others.filter { balance.isReachable(it.entry.zone, now) }.ifEmpty { others })
+        }
+        val terms = criteria.terms ?: return choose(own)
+        val starts = candidates.associateWith { expectedStart(balance, flow, it, terms, criteria.prompt != null, now) }
+        val reachable = others.filter { balance.isReachable(it.entry.zone, now) }
+        val isLeaving = balance.leaves(flow, terms, own.earliest(starts), reachable.earliest(starts), now)
+        val zoneTargets = if (isLeaving) reachable else own
+        val chosen = choose(zoneTargets)
+        val start = starts.getValue(chosen) ?: return chosen
+        return if (now + start <= terms.objectiveAt) chosen else zoneTargets.minBy { starts.getValue(it) ?: start }
+    }
+
+    private fun List<Target>.earliest(starts: Map<Target, Duration?>): Duration? = mapNotNull { starts[it] }.minOrNull()
+
+    private fun expectedStart(
+        balance: ZoneBalance,
+        flow: ZoneFlow,
+        target: Target,
+        terms: RequestTerms,
+        hasPrompt: Boolean,
+        now: MonotonicTime,
+    ): Duration? {
+        val work = ExpectedWork.at(target, terms.units, hasPrompt, now)
+        return balance.expectedStart(flow, target.entry.zone, work, terms.usualTotal, slowdown = 1.0)
     }
 
     /**
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/FleetViewSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/FleetViewSpec.kt
@@ -101,5 +101,17 @@
             fleet.callerAddresses(ZoneName("zone-b"), at(1.seconds)) shouldBe listOf("far:1", "self:1")
             fleet.callerAddresses(null, at(3.seconds)) shouldBe listOf("self:1")
         }
+
+        // Guards against callers of a zone that all depend on one instance.
+        it("are only those of the caller's zone if it suffices and two instances serve there") {
+            val fleet = FleetView(member("self", 1))
+            fleet.selfServes = true
+            fleet.recordContact(member("far", 1, "zone-b"), serves = true, reachesStore = true, at(1.seconds))
+            fleet.callerAddresses(ZoneName("zone-a"), at(1.seconds), zoneSuffices = true) shouldBe listOf("self:1", "far:1")
+            fleet.recordContact(member("near", 1), serves = true, reachesStore = true, at(2.seconds))
+            fleet.callerAddresses(ZoneName("zone-a"), at(2.seconds), zoneSuffices = true).toSet() shouldBe setOf("self:1", "near:1")
+            fleet.callerAddresses(ZoneName("zone-a"), at(2.seconds), zoneSuffices = false).size shouldBe 3
+            fleet.callerAddresses(null, at(2.seconds), zoneSuffices = true).size shouldBe 3
+        }
     }
 })
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -8,8 +8,11 @@
 import org.cactuspulley.core.forwarding.ForwardingRefusal
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.WorkspaceDescription
+import org.cactuspulley.core.forwarding.ZoneShareChange
+import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.model.ZoneName
 import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger("decisions")
@@ -124,6 +127,15 @@
         event("unexpected_bytes", "connection" to connection.id().asShortText(), "address" to "${connection.remoteAddress()}")
     }
 
+    /** Records a changed share of requests that leave the zone of this instance. */
+    fun zoneShare(change: ZoneShareChange) {
+        metrics.zoneShare(change.flow.pool.text, change.flow.route.text, change.share)
+        event("zone_share", "pool" to change.flow.pool.text, "route" to change.flow.route.text, "share" to change.share)
+    }
+
+    /** Counts a request that is sent to a target of [pool] in [zone]. */
+    fun sent(pool: PoolName, zone: ZoneName) = metrics.sent(pool.text, zone.text)
+
     /** Records that the caller disconnected before the response was complete. */
     fun abandoned(request: ForwardedRequest, sentAttempts: Int, waited: Duration) {
         metrics.refused("CALLER_GONE")
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -11,10 +11,12 @@
 import org.cactuspulley.core.forwarding.NextStep
 import org.cactuspulley.core.forwarding.Repeatability
 import org.cactuspulley.core.forwarding.RequestProgress
+import org.cactuspulley.core.forwarding.RequestTerms
 import org.cactuspulley.core.forwarding.SelectionCriteria
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.ServiceTimes
 import org.cactuspulley.core.forwarding.Target
+import org.cactuspulley.core.forwarding.TargetLoad
 import org.cactuspulley.core.forwarding.Urgency
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
@@ -143,7 +145,19 @@
         val preferred = state.selector.preferredWeights(grant.pool, newest, now)
         val affinityWeights = if (newest == null) FIRST_WEIGHTS_VERSION else preferred
         val affinity = request.prompt?.let { state.cache.affinity(grant, it, affinityWeights, now) }
-        return SelectionCriteria(grant, request.prompt, progress.excluded, minimum, preferred, affinity)
+        val terms = if (state.zoneBalance != null) requestTerms(preferred, now) else null
+        return SelectionCriteria(grant, request.prompt, progress.excluded, minimum, preferred, affinity, terms = terms)
+    }
+
+    private fun requestTerms(weights: Long?, now: MonotonicTime): RequestTerms {
+        val reusableTokens = request.prompt?.let { state.cache.reusableTokens(grant, it, weights ?: FIRST_WEIGHTS_VERSION, now) } ?: 0
+        return RequestTerms(
+            objectiveAt = arrivedAt + grant.route.latencyObjective,
+            latestStart = progress.latestStart(now),
+            units = TargetLoad.unitsUntilFirstEvent(request.prompt, reusableTokens),
+            usualTotal = serviceTimes.medianTotal(now),
+            bodyBytes = body.size,
+        )
     }
 
     /**
@@ -196,6 +210,7 @@
         val target = attempt.target
         log.attemptFailed(request, attempt, failure, reason)
         target.health.recordFailure(failure, now)
+        state.zoneBalance?.recordFailure(target.entry.zone, failure, now)
         if (ended) return
         val next = progress.recordFailure(target.id, failure, now)
         val mayResume = !hasStreamBegun || grant.route.repeatability == Repeatability.RESUMABLE
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -201,6 +201,7 @@
         operations.resume()
         instances.resume()
         updateReadiness()
+        state.zoneBalance?.drainShareChanges()?.forEach(log::zoneShare)
         if (context.loopDelay.isDelayed(now)) {
             context.afterNextRead { runSafely { withdrawOutdatedAttempts() } }
         } else {
@@ -244,12 +245,18 @@
         val now = clock.now()
         return when (val query = ports.callers.query(request)) {
             InstanceQuery.Readiness -> ports.callers.readiness(state.fleet.selfServes)
-            is InstanceQuery.Addresses -> ports.callers.addresses(state.fleet.callerAddresses(query.zone, now), ADDRESS_LIFETIME)
+            is InstanceQuery.Addresses -> ports.callers.addresses(callerAddresses(query, now), ADDRESS_LIFETIME)
             InstanceQuery.Metrics -> metricsResponse()
             null -> DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NOT_FOUND)
         }
     }
 
+    /** Returns the addresses for callers; this instance knows only of its own zone whether it is short of capacity. */
+    private fun callerAddresses(query: InstanceQuery.Addresses, now: MonotonicTime): List<String> {
+        val zoneSuffices = state.zoneBalance?.let { query.zone != self.zone || it.hasCapacity(now) } ?: false
+        return state.fleet.callerAddresses(query.zone, now, zoneSuffices)
+    }
+
     private fun metricsResponse(): FullHttpResponse {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(metrics.text()))
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, RouterMetrics.CONTENT_TYPE)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -22,6 +22,10 @@
     private val rateLimited = counter("cactuspulley_rate_limited_total", "Requests affected by the rate limits of targets", "outcome")
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
 
+    private val sent = counter("cactuspulley_sent_requests_total", "Requests sent to targets", "pool", "zone")
+    private val zoneShares = Gauge.builder().name("cactuspulley_zone_share")
+        .help("The share of a route's requests to a pool that leave the instance's zone").labelNames("pool", "route").register(registry)
+
     private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
         .help("The version of the configuration in force; 0 before the first").register(registry)
 
@@ -44,6 +48,12 @@
     /** Counts a request that is refused because of the rate limits of targets. */
     fun refusedForRateLimit() = rateLimited.labelValues("refused").inc()
 
+    /** Counts a request that is sent to a target of [pool] in [zone]. */
+    fun sent(pool: String, zone: String) = sent.labelValues(pool, zone).inc()
+
+    /** Sets the [share] of the requests of [route] to [pool] that leave the zone of this instance. */
+    fun zoneShare(pool: String, route: String, share: Double) = zoneShares.labelValues(pool, route).set(share)
+
     fun configured(version: Long) = configurationVersion.set(version.toDouble())
 
     fun event(name: String) = events.labelValues(name).inc()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -15,6 +15,7 @@
 import org.cactuspulley.core.forwarding.TokenBucketLimit
 import org.cactuspulley.core.forwarding.WeightsLimits
 import org.cactuspulley.core.forwarding.WorkspaceDescription
+import org.cactuspulley.core.forwarding.ZoneBalance
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.WorkspaceId
@@ -47,8 +48,11 @@
     /** The rate limits of the targets. */
     val rateLimits = TargetRateLimits(fleet)
 
+    /** Decides which requests leave the zone of this instance; null if the settings do not ask for it. */
+    val zoneBalance = if (routing.zoneBalancing) ZoneBalance(self.zone, random) else null
+
     /** Selects a target for each attempt. */
-    val selector = TargetSelector(directory, self.zone, rateLimits, random)
+    val selector = TargetSelector(directory, self.zone, rateLimits, random, zoneBalance)
 
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
@@ -123,6 +127,7 @@
     fun configure(configuration: ForwardingConfiguration, now: MonotonicTime): Boolean {
         if (!authorizer.replace(configuration)) return false
         serviceTimes.retain(configuration)
+        zoneBalance?.retain(configuration)
         for ((name, bucket) in tokenBuckets) {
             configuration.workspaces[name]?.let { bucket.changeLimit(tokenBucketLimit(it), now) }
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import org.cactuspulley.core.forwarding.CachePlan
+import org.cactuspulley.core.forwarding.ExpectedWork
 import org.cactuspulley.core.forwarding.ForwardedRequest
 import org.cactuspulley.core.forwarding.ForwardingGrant
 import org.cactuspulley.core.forwarding.RateLimitAdmission
@@ -17,6 +18,7 @@
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.Target
 import org.cactuspulley.core.forwarding.TargetLoad
+import org.cactuspulley.core.forwarding.ZoneFlow
 import org.cactuspulley.core.model.AttemptId
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.runtime.platform.HostAndPort
@@ -116,6 +118,9 @@
     private var longestPause = Duration.ZERO
     private var lastEventsAt: MonotonicTime? = null
 
+    /** The work at the target when the attempt began; null if no zone is selected by it. */
+    private var expectedWork: ExpectedWork? = null
+
     /** The permission of the target's rate limit to send the request. */
     private var admission: RateLimitAdmission = RateLimitAdmission.Denied
 
@@ -155,6 +160,7 @@
 
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
+        if (state.zoneBalance != null) expectedWork = ExpectedWork.at(target, units, request.prompt != null, startedAt)
         target.load.add(units)
         admission = state.rateLimits.admit(target, startedAt)
         context.connections.acquire(target.id, address, request.id) { channel ->
@@ -227,6 +233,7 @@
         handler.assign(this)
         requestsOnConnection = handler.requestCount
         progress.recordSent()
+        log.sent(grant.pool, target.entry.zone)
         connection.flush()
         silence.start(address)
     }
@@ -289,7 +296,7 @@
         responseHead = head
         this.response = response
         silence.recordActivity()
-        if (!grant.route.isStream && head.status in SUCCESS) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
+        if (!grant.route.isStream && head.status in SUCCESS) recordStart()
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt, it.slowdown)) }
         if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
@@ -331,7 +338,7 @@
         }
         if (completeEvents == null) return
         if (!hasEvents) request.prompt?.let { context.pieceQuarantine.answerBegan(it, lastActivityAt) }
-        if (!hasEvents) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
+        if (!hasEvents) recordStart()
         lastEventsAt?.let { longestPause = maxOf(longestPause, lastActivityAt - it) }
         lastEventsAt = lastActivityAt
         hasEvents = true
@@ -339,6 +346,15 @@
         observer.eventsArrived(this, completeEvents, stream.lastEventId, lastActivityAt)
     }
 
+    private fun recordStart() {
+        val latency = lastActivityAt - sentAt
+        serviceTimes.recordStart(latency, lastActivityAt)
+        val work = expectedWork ?: return
+        val flow = ZoneFlow(grant.pool, grant.route.name)
+        val usualTotal = serviceTimes.medianTotal(lastActivityAt)
+        if (!isResumption) state.zoneBalance?.recordStart(flow, target.entry.zone, work, usualTotal, latency, lastActivityAt)
+    }
+
     private fun markRunning() {
         if (units == TargetLoad.RUNNING_STREAM_UNITS) return
         target.load.add(TargetLoad.RUNNING_STREAM_UNITS - units)
