Admit requests by the capacity of targets, and queue them by consumption and due time

Load: many callers compete for too few targets; a dozen prompts of 9,200 tokens fill an engine while half of its slots are free, and one workspace sends six times its usual load. Capacity (setting routing.capacity_admission): TargetCapacity counts requests and tokens in flight at each target, from this instance, from the digests of others (new field occupancy) and from the target's own reports; the selector filters by it. A request larger than the memory of all targets is refused at once. Queue (setting routing.fair_queueing): the forwarding path uses FairRequestQueue. With the setting, requests wait by priority, whether they can be on time, the consumption of their workspace over the fleet, and due time; without it, by priority and latest start as before. Urgency is replaced by DueTimes, and WaitingRequests is the timer around the queue. Late requests are now let wait on only as far as their share of starts suffices.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
@@ -58,7 +58,8 @@
  * @property isStream whether responses are event streams.
  * @property isAnonymous whether callers need no API key.
  * @property timeout the longest time that a request may take.
- * @property latencyObjective the time within which a response, or the first event of a stream, is on time. It is only reported.
+ * @property latencyObjective the time within which a response, or the first event of a stream, is on time. It is only reported, unless
+ *    waiting requests are ordered by due time.
  * @property maximumAttempts the largest number of send attempts in which the request may have run; attempts in which it
  *    certainly did not run do not count.
  * @property priority the priority of the route's requests; 0 is the most urgent.
@@ -87,8 +88,9 @@
  * @property models the models that the targets serve.
  * @property cacheStore the host and port of the cache store if the pool is a store of cached prompt pieces; null for
  *    a pool of targets.
+ * @property tokenCapacity the tokens that fit into the memory of each target; null if it does not limit them.
  */
-public data class PoolDescription(val name: PoolName, val models: Set<ModelName>, val cacheStore: String?)
+public data class PoolDescription(val name: PoolName, val models: Set<ModelName>, val cacheStore: String?, val tokenCapacity: Long? = null)
 
 /**
  * A workspace and its limits.
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucket.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucket.kt
@@ -53,6 +53,15 @@
         return TokenBucketUsage(total, ratePerSecond, available(now))
     }
 
+    /**
+     * Returns the units that all instances together consume per second at [now], as far as their reports are recent: what a peer that has
+     * not reported for long consumes is not known.
+     */
+    public fun fleetRate(now: MonotonicTime): Double {
+        decayRate(now)
+        return ratePerSecond + peers.values.filter { now - it.receivedAt < MAX_EXTRAPOLATION }.sumOf { it.usage.perSecond }
+    }
+
     /** Changes the limit to [newLimit]; units above the new capacity are lost. */
     public fun changeLimit(newLimit: TokenBucketLimit, now: MonotonicTime) {
         addRefill(now)
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestAuthorizer.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestAuthorizer.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import org.cactuspulley.core.model.PoolName
+import org.cactuspulley.core.model.WorkspaceId
 import kotlin.random.Random
 
 /**
@@ -52,6 +53,9 @@
 ) {
     /** The priority of the request: that of the workspace or, if it has none, that of the route. 0 is the most urgent. */
     public val priority: Int get() = workspace?.priority ?: route.priority
+
+    /** The workspace whose prompts share their pieces with no other workspace; null if the pieces may be shared. */
+    public val isolatedWorkspace: WorkspaceId? get() = workspace?.takeIf { it.isIsolated }?.name
 }
 
 /** Decides by the current configuration whether and to which pool a request may be forwarded. */
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestProgress.kt
@@ -2,6 +2,7 @@
 
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.queueing.DueTimes
 import org.cactuspulley.core.requests.RetryBudget
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -60,7 +61,7 @@
 public class RequestProgress(
     private val grant: ForwardingGrant,
     callerDeadline: MonotonicTime?,
-    arrivedAt: MonotonicTime,
+    private val arrivedAt: MonotonicTime,
     private val retryBudget: RetryBudget,
     private val serviceTimes: ServiceTimes,
 ) {
@@ -95,6 +96,14 @@
      */
     public fun latestStart(now: MonotonicTime): MonotonicTime = if (hasBegun) deadline else deadline - serviceTimes.medianTotal(now)
 
+    /** Returns the times by which the request is ranked among those that wait. */
+    public fun dueTimes(now: MonotonicTime): DueTimes {
+        val usualTime = serviceTimes.medianTotal(now)
+        val timeToObjective = if (grant.route.isStream) serviceTimes.medianStart(now) else usualTime
+        val objectiveAt = arrivedAt + grant.route.latencyObjective
+        return DueTimes(grant.priority, objectiveAt - timeToObjective, objectiveAt, latestStart(now), usualTime, hasBegun)
+    }
+
     /** Returns whether a target may complete the request if it is sent at [now]: a recent one of its route took no longer. */
     public fun canComplete(now: MonotonicTime): Boolean =
         now < deadline && (hasBegun || now + serviceTimes.shortestTotal(now) <= deadline)
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReturnSchedule.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReturnSchedule.kt
@@ -15,10 +15,11 @@
 
     /**
      * Returns after which time a caller should return that is refused at [now], where [interval] is the mean time between two callers of
-     * this instance that can be served. The first few return immediately, because other instances may have a place for them.
+     * this instance that can be served. The first few return immediately, because other instances may have a place for them; none returns
+     * before [notBefore], if that is given.
      */
-    public fun delay(interval: Duration, now: MonotonicTime): Duration {
-        val earliest = now - interval * IMMEDIATE_RETURNS
+    public fun delay(interval: Duration, now: MonotonicTime, notBefore: MonotonicTime? = null): Duration {
+        val earliest = notBefore ?: (now - interval * IMMEDIATE_RETURNS)
         val turn = minOf(maxOf(next ?: earliest, earliest), now + MAX_DELAY)
         next = turn + interval
         return (turn - now).coerceIn(MIN_DELAY, MAX_DELAY)
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ServiceTimes.kt
@@ -80,6 +80,9 @@
     /** Returns the median time of a complete response; zero if it is not known. */
     public fun medianTotal(now: MonotonicTime): Duration = totals.quantile(MEDIAN, now) ?: Duration.ZERO
 
+    /** Returns the median time to the first event of a stream, or to the head of another response; zero if it is not known. */
+    public fun medianStart(now: MonotonicTime): Duration = starts.quantile(MEDIAN, now) ?: Duration.ZERO
+
     /** Returns the time within which almost all responses were complete; null if it is not known. */
     public fun usualTotal(now: MonotonicTime): Duration? = totals.quantile(ALMOST_ALL, now)
 
@@ -125,6 +128,15 @@
     public fun usualTotal(pool: PoolName, now: MonotonicTime): Duration? =
         byPool[pool]?.values?.mapNotNull { it.usualTotal(now) }?.maxOrNull()
 
+    /**
+     * Returns the median time of a complete response in [pool], averaged over its routes; null if it is not known. Routes count alike,
+     * whatever their number of requests.
+     */
+    public fun averageTotal(pool: PoolName, now: MonotonicTime): Duration? {
+        val medians = byPool[pool]?.values?.map { it.medianTotal(now) }?.filter { it.isPositive() }.orEmpty()
+        return if (medians.isEmpty()) null else medians.fold(Duration.ZERO, Duration::plus) / medians.size
+    }
+
     /** Discards the service times of routes that [configuration] does not contain. */
     public fun retain(configuration: ForwardingConfiguration) {
         val names = configuration.routes.map { it.name }.toSet()
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -40,14 +40,17 @@
     /** All targets have failed the request, or could not be reached for it. */
     public data object AllTried : Availability
 
+    /** The request is larger than the memory of every target that could run it, so that none ever accepts it. */
+    public data object TooLarge : Availability
+
     /** The rate limits of all targets that could leave this instance no share; other instances may serve the request immediately. */
     public data object Elsewhere : Availability
 
     /**
      * A target may accept it at [time], when it is no longer excluded, has had the pause that it asked for, or is [limitedTarget] and its
-     * rate limit permits one more request.
+     * rate limit permits one more request. [isFull] says that it has no slot or memory for the request now, so that [time] is an estimate.
      */
-    public data class From(val time: MonotonicTime, val limitedTarget: TargetId? = null) : Availability
+    public data class From(val time: MonotonicTime, val limitedTarget: TargetId? = null, val isFull: Boolean = false) : Availability
 }
 
 /**
@@ -63,11 +66,12 @@
     private val zone: ZoneName,
     private val rateLimits: TargetRateLimits,
     private val random: Random = Random.Default,
+    private val capacity: TargetCapacity = TargetCapacity.UNLIMITED,
 ) {
     /** Returns the target for [criteria], or null if no target can accept the request now. */
     public fun select(criteria: SelectionCriteria, now: MonotonicTime): Target? {
         val eligible = directory.members(criteria.grant.pool)
-            .filter { isEligible(it, criteria, now) && !it.isPaused(now) && rateLimits.admits(it, now) }
+            .filter { isEligible(it, criteria, now) && !it.isPaused(now) && rateLimits.admits(it, now) && hasRoom(it, criteria, now) }
         if (eligible.isEmpty()) return null
         val healthy = eligible.filterNot { it.health.isExcluded(now) }
         if (healthy.isEmpty()) return if (criteria.isLastResort) eligible.minBy { it.health.excludedUntil ?: now } else null
@@ -93,13 +97,29 @@
         if (fitting.isEmpty()) return Availability.Unknown
         val untried = fitting.filterNot { it.id in criteria.excluded }
         if (untried.isEmpty()) return Availability.AllTried
-        val (target, time) = untried.mapNotNull { target -> acceptsFrom(target, now)?.let { target to it } }.minByOrNull { it.second }
-            ?: return Availability.Elsewhere
-        return Availability.From(time, target.id.takeIf { rateLimits.limit(target) != null })
+        val candidates = untried.filter { capacity.canHold(it, criteria.prompt) }
+        if (candidates.isEmpty()) return Availability.TooLarge
+        val (target, time) = candidates.mapNotNull { target -> acceptsFrom(target, criteria, now)?.let { target to it } }
+            .minByOrNull { it.second } ?: return Availability.Elsewhere
+        return Availability.From(time, target.id.takeIf { rateLimits.limit(target) != null }, isFull = !hasRoom(target, criteria, now))
     }
 
-    private fun acceptsFrom(target: Target, now: MonotonicTime): MonotonicTime? =
-        rateLimits.availableFrom(target, now)?.let { maxOf(it, target.acceptsFrom(now)) }
+    /** Returns the mean time between two ends of requests at the targets of [pool]; null if it is not known. */
+    public fun endInterval(pool: PoolName, now: MonotonicTime): Duration? =
+        capacity.endInterval(directory.members(pool).filterNot { it.isLeaving }, now)
+
+    /** Returns what is in flight at the targets of each pool. */
+    public fun occupancy(now: MonotonicTime): Map<PoolName, Occupancy> =
+        directory.all.groupBy { it.entry.pool }.mapValues { (_, targets) -> capacity.occupancy(targets, now) }
+
+    private fun hasRoom(target: Target, criteria: SelectionCriteria, now: MonotonicTime): Boolean =
+        capacity.fits(target, criteria.prompt, now, criteria.grant.isolatedWorkspace)
+
+    private fun acceptsFrom(target: Target, criteria: SelectionCriteria, now: MonotonicTime): MonotonicTime? {
+        val limitedUntil = rateLimits.availableFrom(target, now) ?: return null
+        val fullUntil = capacity.availableFrom(target, criteria.prompt, now, criteria.grant.isolatedWorkspace) ?: return null
+        return maxOf(limitedUntil, fullUntil, target.acceptsFrom(now))
+    }
 
     /**
      * Returns the mean time between two requests to [pool] that an instance may send while the rate limits of its targets hold; null if
--- a/core/src/main/kotlin/org/cactuspulley/core/queueing/PoolQueue.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/queueing/PoolQueue.kt
@@ -5,14 +5,32 @@
 import org.cactuspulley.core.model.RequestId
 import kotlin.time.Duration.Companion.nanoseconds
 
+/** The waiting requests of one pool in some order. */
+internal interface WaitingPool {
+    /** The number of waiting requests. */
+    val size: Int
+
+    /** Adds [request], or returns why it is refused. */
+    fun offer(request: QueuedRequest, now: MonotonicTime): OfferResult
+
+    /** Removes and returns a request; null if it was not waiting. */
+    fun remove(request: RequestId): QueuedRequest?
+
+    /** Passes waiting requests to [start] in their order and removes those for which it returns true. */
+    fun drain(now: MonotonicTime, start: (QueuedRequest) -> Boolean)
+
+    /** Returns when [request] is expected to start; null if the drain rate is not known yet. */
+    fun expectedStart(request: QueuedRequest, now: MonotonicTime): MonotonicTime?
+}
+
 /** The waiting requests of one pool, with separate schedulers for interactive requests and those that may wait. */
-internal class PoolQueue(private val settings: QueueSettings) {
+internal class PoolQueue(private val settings: QueueSettings) : WaitingPool {
     private val interactive = FlowScheduler()
     private val mayWait = FlowScheduler()
     private val drainRate = DrainRate()
-    private val size: Int get() = interactive.size + mayWait.size
+    override val size: Int get() = interactive.size + mayWait.size
 
-    fun offer(request: QueuedRequest, now: MonotonicTime): OfferResult {
+    override fun offer(request: QueuedRequest, now: MonotonicTime): OfferResult {
         val scheduler = schedulerOf(request)
         val limit = if (request.mayWait) settings.capacity - settings.interactiveReserve else settings.capacity
         if (size >= limit || scheduler.sizeOf(request.bucket) >= settings.capacityPerFlow) return OfferResult.Full
@@ -23,15 +41,15 @@
         return OfferResult.Queued
     }
 
-    fun remove(request: RequestId): QueuedRequest? = interactive.remove(request) ?: mayWait.remove(request)
+    override fun remove(request: RequestId): QueuedRequest? = interactive.remove(request) ?: mayWait.remove(request)
 
-    fun drain(now: MonotonicTime, start: (QueuedRequest) -> Boolean) {
+    override fun drain(now: MonotonicTime, start: (QueuedRequest) -> Boolean) {
         if (size == 0) return
         val startedTokens = interactive.drain(start) + mayWait.drain(start)
         drainRate.record(startedTokens, now)
     }
 
-    fun expectedStart(request: QueuedRequest, now: MonotonicTime): MonotonicTime? {
+    override fun expectedStart(request: QueuedRequest, now: MonotonicTime): MonotonicTime? {
         val nanosecondsPerToken = drainRate.nanosecondsPerToken ?: return null
         val ahead = when {
             request.mayWait -> interactive.backlogTokens + mayWait.tokensAhead(request)
--- a/core/src/main/kotlin/org/cactuspulley/core/queueing/RequestQueue.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/queueing/RequestQueue.kt
@@ -4,6 +4,7 @@
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.RequestId
+import kotlin.time.Duration
 
 /**
  * A request that waits for a target.
@@ -14,6 +15,7 @@
  * @property mayWait whether interactive requests are started before this one.
  * @property costTokens the expected work of the request, in tokens.
  * @property deadline when the request expires if it was not started before.
+ * @property dueTimes the times that decide how urgent the request is; null if its order does not depend on them.
  */
 public data class QueuedRequest(
     val id: RequestId,
@@ -23,7 +25,10 @@
     val mayWait: Boolean,
     val costTokens: Long,
     val deadline: MonotonicTime,
-)
+    val dueTimes: DueTimes? = null,
+) {
+    internal val due: DueTimes get() = dueTimes ?: DueTimes(0, deadline, deadline, deadline, Duration.ZERO)
+}
 
 /** Orders waiting requests so that workspaces share targets by weight and interactive requests start first. */
 public interface RequestQueue {
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucketSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucketSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.InstanceIncarnation
@@ -160,6 +161,15 @@
             copy.available(restart) shouldBe limit.capacity - 20_000.0
         }
 
+        // Guards against a workspace that ranks as a heavy one long after the instance that served it was lost.
+        it("counts the consumption of all instances, that of a peer as long as its report is recent") {
+            val copy = ReplicatedTokenBucket(limit, MonotonicTime.ZERO)
+            copy.recordPeerUsage(InstanceId("i-2"), InstanceIncarnation(1), TokenBucketUsage(0.0, 40_000.0, 0.0), settled)
+            copy.tryConsume(15_000.0, settled)
+            copy.fleetRate(settled) shouldBe 50_000.0
+            copy.fleetRate(settled + 60.seconds) shouldBeLessThan 1.0
+        }
+
         it("starts almost empty, and adopts the level that a peer reports") {
             val copy = ReplicatedTokenBucket(limit, settled)
             copy.tryConsume(limit.capacity / 8, settled) shouldBe false
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/RequestProgressSpec.kt
@@ -9,6 +9,7 @@
 import io.kotest.property.checkAll
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.TargetId
+import org.cactuspulley.core.queueing.DueTimes
 import org.cactuspulley.core.requests.RetryBudget
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -214,6 +215,22 @@
         }
     }
 
+    describe("the due times of a request with 800 ms to its objective and 6 s in total, whose route takes 140 ms") {
+        it("follow from the route's objective, its timeout and its usual times") {
+            val due = progress(Repeatability.FROM_START, serviceTimes = observedTimes()).dueTimes(START)
+            due shouldBe DueTimes(1, START + 660.milliseconds, START + 800.milliseconds, START + 5_860.milliseconds, 140.milliseconds)
+            due.yieldsUntil shouldBe START + 5_720.milliseconds
+            due.canOnlyBeLate(START + 660.milliseconds) shouldBe false
+            due.canOnlyBeLate(START + 661.milliseconds) shouldBe true
+        }
+
+        // Guards against streams that are taken for late because their objective is compared with the time of the whole stream.
+        it("allow for the time to the first event of a stream") {
+            val times = observedTimes().apply { repeat(10) { recordStart(50.milliseconds, START) } }
+            progress(Repeatability.RESUMABLE, serviceTimes = times).dueTimes(START).onTimeUntil shouldBe START + 750.milliseconds
+        }
+    }
+
     describe("the deadline of a request") {
         it("is the earlier of the route's timeout and the caller's deadline") {
             progress(Repeatability.FROM_START).deadline shouldBe START + 6.seconds
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetRateLimitsSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/TargetRateLimitsSpec.kt
@@ -286,6 +286,13 @@
             (0..9).forEach { schedule.delay(1.seconds, START + 1.seconds * it) shouldBe 50.milliseconds }
         }
 
+        // Guards against callers who return before any place can be free for them, or all when the first one is.
+        it("return one after another from the time on at which the first can be served, if that is known") {
+            val schedule = ReturnSchedule()
+            val delays = List(3) { schedule.delay(100.milliseconds, START, notBefore = START + 1.seconds) }
+            delays shouldBe listOf(1_000.milliseconds, 1_100.milliseconds, 1_200.milliseconds)
+        }
+
         it("never wait for long") {
             val schedule = ReturnSchedule()
             List(100) { schedule.delay(10.seconds, START) }.max() shouldBe 5.seconds
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -8,6 +8,7 @@
 import org.cactuspulley.core.forwarding.ForwardingRefusal
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.WorkspaceDescription
+import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.model.TargetId
 import kotlin.time.Duration
@@ -70,6 +71,24 @@
         write("refused_for_rate_limit", "request" to request.id.text, "returnMillis" to returnDelay?.inWholeMilliseconds)
     }
 
+    /** Records that a request found a target in [pool] after it had [waited] for one. */
+    fun startedAfterWaiting(pool: PoolName, waited: Duration) = metrics.startedAfterWaiting(pool.text, waited)
+
+    /**
+     * Records that a request is refused because the targets of [pool] are full or too small, or because the requests before it take too
+     * long; its caller may return after [returnDelay].
+     */
+    fun refusedAsFull(request: ForwardedRequest, pool: PoolName, cause: String, returnDelay: Duration?) {
+        metrics.refusedAsFull(pool.text, cause)
+        write(
+            "refused_as_full",
+            "request" to request.id.text,
+            "pool" to pool.text,
+            "cause" to cause,
+            "returnMillis" to returnDelay?.inWholeMilliseconds,
+        )
+    }
+
     /** Records that a request's [cost] exceeded the units [available] to the workspace. */
     fun overRate(request: ForwardedRequest, workspace: WorkspaceDescription, cost: Double, available: Double) {
         write(
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -4,6 +4,7 @@
 import org.cactuspulley.core.forwarding.CachedPrefix
 import org.cactuspulley.core.forwarding.ClaimNumber
 import org.cactuspulley.core.forwarding.FleetMember
+import org.cactuspulley.core.forwarding.Occupancy
 import org.cactuspulley.core.forwarding.SaveNotice
 import org.cactuspulley.core.forwarding.TokenBucketUsage
 import org.cactuspulley.core.forwarding.WeightRollout
@@ -160,7 +161,7 @@
 
     /** The digest without the state of targets and workspaces, which follows with the regular digests; this keeps the datagram small. */
     private fun FleetDigest.withoutState() =
-        copy(uses = emptyList(), excluded = emptyList(), work = emptyList(), loading = emptyList(), shownWeights = emptyList())
+        copy(uses = emptyList(), excluded = emptyList(), work = emptyList(), loading = emptyList(), shownWeights = emptyList(), occupancy = null)
 
     /** Sends a crash notice to all peers immediately and repeats it in the next digests. */
     fun sendCrash(notice: CrashNotice) {
@@ -231,9 +232,14 @@
             pieceQuarantines = context.pieceQuarantine.quarantineNotices(now),
             leaving = context.leavingTargets.notices(now),
             limits = context.rateLimits.notices(now),
+            occupancy = if (state.capacity.isEnabled) occupancy() else null,
         )
     }
 
+    private fun occupancy() = state.directory.all.filter { it.occupancy.local.requests > 0 }.map { target ->
+        target.occupancy.local.let { TargetOccupancyNotice(target.id.text, it.requests, it.tokens) }
+    }
+
     private fun TopicReplica.nextInCurrentEra(): Long? = next.takeIf { era == context.storeEra.current }
 
     private fun shownWeights(): List<ObservedWeights> = state.desiredWeights.all.flatMap { desired ->
@@ -319,10 +325,20 @@
         context.rateLimits.receive(peer.text, digest.limits, at)
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
+        digest.occupancy?.let { recordOccupancy(peer, it, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
         digest.shownWeights.forEach { state.directory[TargetId(it.target)]?.recordWeights(ModelName(it.model), it.version) }
     }
 
+    /** Replaces what [peer] reported before: it has nothing in flight at targets that it no longer names. */
+    private fun recordOccupancy(peer: InstanceId, notices: List<TargetOccupancyNotice>, until: MonotonicTime) {
+        val byTarget = notices.associateBy { it.target }
+        state.directory.all.forEach { target ->
+            val notice = byTarget[target.id.text]
+            target.occupancy.recordPeer(peer, Occupancy(notice?.requests ?: 0, notice?.tokens ?: 0), until)
+        }
+    }
+
     private fun recordPeerClaim(peer: InstanceId, token: Long) {
         val ownToken = rollout.lastToken
         val lastHolder = rollout.holder
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -47,6 +47,7 @@
  * @property pieceQuarantines the quarantines of pieces that hold at the instance.
  * @property leaving the targets that told the instance recently that they are leaving.
  * @property limits the rate limits that targets named to the instance, or lifted.
+ * @property occupancy what the instance has in flight at each target; null if the digest does not say, as those of older releases.
  * @property relayedRanges the records that the instance relays to the receiver.
  */
 @Serializable
@@ -78,6 +79,7 @@
     val pieceQuarantines: List<PieceQuarantineNotice> = emptyList(),
     val leaving: List<LeavingTarget> = emptyList(),
     val limits: List<TargetLimitNotice> = emptyList(),
+    val occupancy: List<TargetOccupancyNotice>? = null,
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
 )
 
@@ -164,6 +166,12 @@
 @CborArray
 internal data class TargetWork(val target: String, val units: Double)
 
+/** The [requests] that an instance has in flight at [target], and the [tokens] of token memory that they take. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class TargetOccupancyNotice(val target: String, val requests: Int, val tokens: Long)
+
 /** A target that an instance excludes for another [millis] milliseconds. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -15,13 +15,14 @@
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.ServiceTimes
 import org.cactuspulley.core.forwarding.Target
-import org.cactuspulley.core.forwarding.Urgency
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.quarantine.CrashNotice
 import org.cactuspulley.core.quarantine.Fingerprint
 import org.cactuspulley.core.quarantine.QuarantineVerdict
+import org.cactuspulley.core.queueing.OfferResult
+import org.cactuspulley.core.queueing.QueuedRequest
 import org.cactuspulley.runtime.platform.HostAndPort
 import java.util.concurrent.Future
 import kotlin.time.Duration
@@ -75,6 +76,9 @@
     private var ended = false
     private var isHeldForRateLimit = false
 
+    /** Identifies the request in the queue of this instance. */
+    private val queueId = context.waiting.nextId()
+
     override var lastEventId: Long? = request.lastEventId
         private set
     override val isEnded: Boolean get() = ended
@@ -130,6 +134,7 @@
         val now = context.clock.now()
         if (!progress.canComplete(now)) return giveUp(progress.cannotComplete())
         val target = selectTarget(now) ?: return
+        context.waiting.started(queueId, grant.pool)?.let { log.startedAfterWaiting(grant.pool, it) }
         val address = HostAndPort.parse(target.entry.address) ?: return giveUp(progress.noTarget())
         val attempt = SendAttempt(context, this, GrantedRequest(head, body, request, grant), progress, target)
         currentAttempt = attempt
@@ -152,25 +157,47 @@
      */
     private fun selectTarget(now: MonotonicTime): Target? {
         val criteria = selectionCriteria(now)
-        state.selector.select(criteria, now)?.let { return it }
+        val queued = queuedRequest(now)
+        val mustYield = context.waiting.mustYield(queued)
+        if (!mustYield) state.selector.select(criteria, now)?.let { return it }
         val latestStart = progress.latestStart(now)
         val availability = state.selector.availability(criteria, now)
         val isWaiting = now < latestStart && when (availability) {
             Availability.Unknown -> true
-            Availability.AllTried, Availability.Elsewhere -> false
+            Availability.AllTried, Availability.Elsewhere, Availability.TooLarge -> false
             is Availability.From -> availability.time <= latestStart
         }
         val limitedTarget = (availability as? Availability.From)?.limitedTarget
         if (isWaiting) {
             limitedTarget?.let(::holdForRateLimit)
-            context.waiting.add(Urgency(grant.priority, latestStart), ::startAttempt)
+            val result = context.waiting.offer(queued, ::startAttempt) { refuseAsFull("displaced", it, context.clock.now()) }
+            if (result != OfferResult.Queued) refuseFromQueue(result, queued, now)
             return null
         }
-        val lastResort = state.selector.select(criteria.copy(isLastResort = true), now)
+        val lastResort = if (mustYield) null else state.selector.select(criteria.copy(isLastResort = true), now)
         if (lastResort == null) refuseWithoutTarget(availability, now)
         return lastResort
     }
 
+    private fun queuedRequest(now: MonotonicTime): QueuedRequest {
+        val cost = grant.cost.toLong()
+        return QueuedRequest(queueId, state.flow(grant.workspace), grant.pool, 1, false, cost, progress.deadline, progress.dueTimes(now))
+    }
+
+    private fun refuseFromQueue(result: OfferResult, queued: QueuedRequest, now: MonotonicTime) = when (result) {
+        is OfferResult.TooLate -> refuseAsFull("too_late", result.expectedStart, now)
+        OfferResult.Full, OfferResult.Queued -> refuseAsFull("queue_full", context.waiting.expectedStart(queued), now)
+    }
+
+    /** Refuses the request because of the load; [expectedStart] is when one like it could start, if that is known. */
+    private fun refuseAsFull(cause: String, expectedStart: MonotonicTime?, now: MonotonicTime) {
+        if (ended) return
+        val interval = context.waiting.startInterval(grant.pool)
+        val returnDelay = if (progress.mayHaveRun) null else state.fullReturnDelay(grant.pool, interval, expectedStart, now)
+        log.refusedAsFull(request, grant.pool, cause, returnDelay)
+        giveUp(progress.noTarget(returnDelay = returnDelay))
+    }
+
     private fun holdForRateLimit(target: TargetId) {
         state.rateLimits.reserve(target)
         if (!isHeldForRateLimit) log.heldForRateLimit(request, target)
@@ -178,6 +205,11 @@
     }
 
     private fun refuseWithoutTarget(availability: Availability, now: MonotonicTime) {
+        if (availability == Availability.TooLarge) {
+            log.refusedAsFull(request, grant.pool, "too_large", RETRY_AFTER_TOO_LARGE)
+            return giveUp(progress.noTarget(returnDelay = RETRY_AFTER_TOO_LARGE))
+        }
+        if (availability is Availability.From && availability.isFull) return refuseAsFull("no_room", availability.time, now)
         val isLimited = availability == Availability.Elsewhere || (availability as? Availability.From)?.limitedTarget != null
         val returnDelay = if (isLimited && !progress.mayHaveRun) state.returnDelay(grant.pool, now) else null
         if (isLimited) log.refusedForRateLimit(request, returnDelay)
@@ -294,6 +326,7 @@
     private fun finish() {
         ended = true
         if (::progress.isInitialized) progress.recordEnd()
+        context.waiting.remove(queueId)
         deadlineTimer?.cancel(false)
         context.exchanges.remove(this)
     }
@@ -367,6 +400,9 @@
         /** A request that crashes targets is not retried within the deadline of any caller. */
         val RETRY_AFTER_CRASHING = 5_000.milliseconds
 
+        /** A request that is larger than the memory of every target has no use in a retry within the deadline of any caller. */
+        val RETRY_AFTER_TOO_LARGE = 5_000.milliseconds
+
         /** Added to the time until the rate permits the request, to allow for the digests of other instances. */
         val RETRY_AFTER_OVER_RATE = 100.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import org.cactuspulley.core.quarantine.CrashNotice
+import org.cactuspulley.core.queueing.FairRequestQueue
+import org.cactuspulley.core.queueing.QueueSettings
 import org.cactuspulley.runtime.control.MonotonicClock
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -53,7 +55,12 @@
     val rateLimits = RateLimitExchange(this)
 
     /** The requests that wait for a target. */
-    val waiting = WaitingRequests({ delay, action -> schedule(delay, action) }, { loop.execute(it) }) {
+    val waiting = WaitingRequests(
+        FairRequestQueue(QueueSettings(capacity = state.queueCapacity), state.queueOrder),
+        { clock.now() },
+        { delay, action -> schedule(delay, action) },
+        { loop.execute(it) },
+    ) {
         state.rateLimits.clearReservations()
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -251,6 +251,9 @@
     }
 
     private fun metricsResponse(): FullHttpResponse {
+        val now = clock.now()
+        metrics.waiting(context.waiting.size)
+        if (state.capacity.isEnabled) state.selector.occupancy(now).forEach { (pool, occupancy) -> metrics.occupied(pool.text, occupancy) }
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(metrics.text()))
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, RouterMetrics.CONTENT_TYPE)
         return response
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.cactuspulley.core.forwarding.Occupancy
 import org.cactuspulley.runtime.metrics.text
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -20,6 +21,12 @@
     private val refusals = counter("cactuspulley_refusals_total", "Requests that got no answer of a target", "cause")
     private val failedAttempts = counter("cactuspulley_failed_sends_total", "Sends that ended without a deliverable answer", "cause")
     private val rateLimited = counter("cactuspulley_rate_limited_total", "Requests affected by the rate limits of targets", "outcome")
+    private val fullRefusals = counter("cactuspulley_full_refusals_total", "Requests refused because targets are full", "pool", "cause")
+    private val queueTimes = histogram("cactuspulley_queue_seconds", "Time for which a request that got a target had waited for it")
+    private val occupiedRequests = gauge("cactuspulley_occupied_requests", "Requests in flight at a pool's targets, of all instances")
+    private val occupiedTokens = gauge("cactuspulley_occupied_tokens", "Token memory in use at a pool's targets, by all instances")
+    private val waitingRequests = Gauge.builder().name("cactuspulley_waiting_requests").help("Requests that wait for a target")
+        .register(registry)
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
 
     private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
@@ -47,6 +54,18 @@
     /** Counts a request that is refused because of the rate limits of targets. */
     fun refusedForRateLimit() = rateLimited.labelValues("refused").inc()
 
+    /** Counts a request that is refused because targets are full, or too small for it. */
+    fun refusedAsFull(pool: String, cause: String) = fullRefusals.labelValues(pool, cause).inc()
+
+    fun startedAfterWaiting(pool: String, waited: Duration) = queueTimes.labelValues(pool).observe(waited.toDouble(DurationUnit.SECONDS))
+
+    fun waiting(requests: Int) = waitingRequests.set(requests.toDouble())
+
+    fun occupied(pool: String, occupancy: Occupancy) {
+        occupiedRequests.labelValues(pool).set(occupancy.requests.toDouble())
+        occupiedTokens.labelValues(pool).set(occupancy.tokens.toDouble())
+    }
+
     fun configured(version: Long) = configurationVersion.set(version.toDouble())
 
     fun fleetKnown(instances: Int) = fleetInstances.set(instances.toDouble())
@@ -60,6 +79,8 @@
         .labelNames("pool").classicUpperBounds(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4).classicOnly().withoutExemplars()
         .register(registry)
 
+    private fun gauge(name: String, help: String): Gauge = Gauge.builder().name(name).help(help).labelNames("pool").register(registry)
+
     private fun counter(name: String, help: String, vararg labels: String): Counter =
         Counter.builder().name(name).help(help).labelNames(*labels).withoutExemplars().register(registry)
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -1,6 +1,7 @@
 package org.cactuspulley.runtime.forwarding
 
 import org.cactuspulley.core.forwarding.CachePlanner
+import org.cactuspulley.core.forwarding.CapacityKnowledge
 import org.cactuspulley.core.forwarding.DesiredWeightsTracker
 import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.FleetView
@@ -9,16 +10,20 @@
 import org.cactuspulley.core.forwarding.RequestAuthorizer
 import org.cactuspulley.core.forwarding.ReturnSchedule
 import org.cactuspulley.core.forwarding.ServiceTimesRegistry
+import org.cactuspulley.core.forwarding.TargetCapacity
 import org.cactuspulley.core.forwarding.TargetDirectory
 import org.cactuspulley.core.forwarding.TargetRateLimits
 import org.cactuspulley.core.forwarding.TargetSelector
 import org.cactuspulley.core.forwarding.TokenBucketLimit
 import org.cactuspulley.core.forwarding.WeightsLimits
 import org.cactuspulley.core.forwarding.WorkspaceDescription
+import org.cactuspulley.core.limits.BucketId
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.PoolName
+import org.cactuspulley.core.model.ProfileName
 import org.cactuspulley.core.model.WorkspaceId
 import org.cactuspulley.core.quarantine.CrashTracker
+import org.cactuspulley.core.queueing.QueueOrder
 import org.cactuspulley.core.requests.RetryBudget
 import org.cactuspulley.runtime.settings.FleetBounds
 import org.cactuspulley.runtime.settings.RoutingSettings
@@ -47,8 +52,18 @@
     /** The rate limits of the targets. */
     val rateLimits = TargetRateLimits(fleet)
 
+    /** What targets can still take; everything unless the settings enable it. */
+    val capacity = if (routing.capacityAdmission) TargetCapacity(FleetCapacityKnowledge()) else TargetCapacity.UNLIMITED
+
+    /** The order in which waiting requests get targets. */
+    val queueOrder: QueueOrder =
+        if (routing.fairQueueing) QueueOrder.FairByDueTime { flow, now -> consumption(flow, now) } else QueueOrder.ByLatestStart
+
+    /** The most requests that may wait for each pool; without a setting, only the memory of requests limits them. */
+    val queueCapacity: Int = routing.queueCapacity.takeIf { it > 0 } ?: Int.MAX_VALUE
+
     /** Selects a target for each attempt. */
-    val selector = TargetSelector(directory, self.zone, rateLimits, random)
+    val selector = TargetSelector(directory, self.zone, rateLimits, random, capacity)
 
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
@@ -67,6 +82,7 @@
     private val tokenBuckets = HashMap<WorkspaceId, ReplicatedTokenBucket>()
     private val retryBudgets = HashMap<PoolName, RetryBudget>()
     private val returnSchedules = HashMap<PoolName, ReturnSchedule>()
+    private val fullReturnSchedules = HashMap<PoolName, ReturnSchedule>()
 
     /**
      * Returns whether a request should wait until its [deadline], because this instance has just started and is about to read its first
@@ -116,6 +132,27 @@
     fun returnDelay(pool: PoolName, now: MonotonicTime): Duration? =
         selector.limitedInterval(pool, now)?.let { returnSchedules.getOrPut(pool, ::ReturnSchedule).delay(it, now) }
 
+    /**
+     * Returns after which time a caller should return whose request can't start in time because the targets of [pool] are full;
+     * [expectedStart] is when a request like it could start, and [startInterval] the mean time between two starts of requests that wait
+     * here, if these are known. Without the latter, an equal part of the requests that end in the whole fleet makes room for this instance.
+     * Null if nothing is known.
+     */
+    fun fullReturnDelay(pool: PoolName, startInterval: Duration?, expectedStart: MonotonicTime?, now: MonotonicTime): Duration? {
+        val interval = startInterval ?: selector.endInterval(pool, now)?.times(fleet.size) ?: return expectedStart?.minus(now)
+        return fullReturnSchedules.getOrPut(pool, ::ReturnSchedule).delay(interval, now, expectedStart ?: (now + interval))
+    }
+
+    /** Returns what the workspace of [flow] consumes over the whole fleet, as a multiple of its rate; null if it has no rate. */
+    private fun consumption(flow: BucketId, now: MonotonicTime): Double? {
+        val workspace = authorizer.configuration?.workspaces?.get(flow.workspace)?.takeIf { flow.profile == WORKSPACE_FLOW } ?: return null
+        return tokenBucket(workspace)?.let { it.fleetRate(now) / workspace.rate }
+    }
+
+    /** Returns the flow of the requests of [workspace]; requests without a workspace are one flow. */
+    fun flow(workspace: WorkspaceDescription?): BucketId =
+        if (workspace == null) BucketId(WorkspaceId(""), ANONYMOUS_FLOW) else BucketId(workspace.name, WORKSPACE_FLOW)
+
     /** Returns this instance's equal part of [share] of the fleet's retry slack. */
     private fun retryShare(share: Double): Double = bounds.retrySlack * share / fleet.size
 
@@ -140,7 +177,20 @@
         return TokenBucketLimit(REFILL_SHARE * perWindow / bounds.rateWindowSeconds, (1 + bounds.rateOvershoot - REFILL_SHARE) * perWindow)
     }
 
+    private inner class FleetCapacityKnowledge : CapacityKnowledge {
+        override val startedAt: MonotonicTime get() = this@ForwardingState.startedAt
+
+        override val fleetSize: Int? get() = fleet.size.takeIf { fleet.isAnnounced }
+
+        override fun tokenCapacity(pool: PoolName): Long? = authorizer.configuration?.pools?.get(pool)?.tokenCapacity
+
+        override fun usualTime(pool: PoolName, now: MonotonicTime): Duration? = serviceTimes.averageTotal(pool, now)
+    }
+
     private companion object {
+        val WORKSPACE_FLOW = ProfileName("workspace")
+        val ANONYMOUS_FLOW = ProfileName("anonymous")
+
         /** As many as for a piece of prompts: a target that crashes by itself also breaks requests that have nothing to do with it. */
         const val CRASHES_BEFORE_QUARANTINE = 3
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -10,6 +10,7 @@
 import org.cactuspulley.core.forwarding.CachePlan
 import org.cactuspulley.core.forwarding.ForwardedRequest
 import org.cactuspulley.core.forwarding.ForwardingGrant
+import org.cactuspulley.core.forwarding.OccupiedCapacity
 import org.cactuspulley.core.forwarding.RateLimitAdmission
 import org.cactuspulley.core.forwarding.Repeatability
 import org.cactuspulley.core.forwarding.ReportedLoad
@@ -126,6 +127,9 @@
     )
         private set
 
+    /** What the attempt occupies at its target; null before its start, or if capacity is not taken into account. */
+    private var occupied: OccupiedCapacity? = null
+
     /** Identifies the attempt. */
     val id = AttemptId("${request.id.text}#${progress.sentAttempts}")
 
@@ -156,6 +160,7 @@
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
         target.load.add(units)
+        occupied = state.capacity.recordStart(target, request.prompt, grant.isolatedWorkspace)
         admission = state.rateLimits.admit(target, startedAt)
         context.connections.acquire(target.id, address, request.id) { channel ->
             connected(channel, address)
@@ -491,6 +496,7 @@
         silence.end()
         if (!isWritten) state.rateLimits.giveBack(admission)
         target.load.add(-units)
+        if (state.capacity.recordEnd(target, occupied, context.clock.now())) context.scheduleDigest()
         memory.resize(0)
         observer.closed(this)
         events?.release()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -74,6 +74,8 @@
  * @property capacityAdmission whether requests are sent only to targets that have slots and memory for them.
  * @property fairQueueing whether waiting requests are ordered by due time and by what their workspaces have consumed.
  * @property targetSpeed whether slow targets get proportionally less.
+ * @property queueCapacity the most requests that wait for the targets of one pool if [fairQueueing] is set; 0 if only the memory of the
+ *    requests that an instance holds limits them.
  * @property zoneBalancing whether requests leave their zone only if that pays off.
  */
 @Serializable
@@ -81,6 +83,7 @@
     @SerialName("capacity_admission") val capacityAdmission: Boolean = false,
     @SerialName("fair_queueing") val fairQueueing: Boolean = false,
     @SerialName("target_speed") val targetSpeed: Boolean = false,
+    @SerialName("queue_capacity") val queueCapacity: Int = 0,
     @SerialName("zone_balancing") val zoneBalancing: Boolean = false,
 )
 
@@ -106,6 +109,7 @@
         Triple("bounds.rate_slack_tokens", bounds.rateSlackTokens, 0.0..1e12),
         Triple("bounds.lease_millis", bounds.leaseMillis.toDouble(), 1.0..600_000.0),
         Triple("bounds.start_limit_millis", bounds.startLimitMillis, 1.0..600_000.0),
+        Triple("routing.queue_capacity", settings.routing.queueCapacity.toDouble(), 0.0..1e6),
         Triple("link.megabits_per_second", settings.link.megabitsPerSecond, 0.0..1e6),
     )
     ranges.firstOrNull { (_, value, allowed) -> value !in allowed }?.let { (key, value, allowed) ->
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -18,6 +18,7 @@
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.platform.HostAndPort
 import org.cactuspulley.runtime.settings.FleetBounds
+import org.cactuspulley.runtime.settings.RoutingSettings
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -197,6 +198,7 @@
     private val bounds: FleetBounds = FleetBounds(),
     joining: Int = 0,
     private val operationsLog: SimulatedTopic? = null,
+    private val routing: RoutingSettings = RoutingSettings(),
 ) {
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private val loop = channel.eventLoop()
@@ -250,7 +252,7 @@
 
         /** What a restart of the instance replaces. */
         private inner class Parts {
-            val state = ForwardingState(member, bounds, now, random)
+            val state = ForwardingState(member, bounds, now, random, routing)
             val context = ForwardingContext(
                 loop,
                 clock,
@@ -346,7 +348,7 @@
         loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    private fun advanceTime(duration: Duration) {
+    fun advanceTime(duration: Duration) {
         now += duration
         channel.advanceTimeBy(duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         channel.runScheduledPendingTasks()
@@ -371,9 +373,10 @@
     bounds: FleetBounds = FleetBounds(),
     joining: Int = 0,
     operationsLog: SimulatedTopic? = null,
+    routing: RoutingSettings = RoutingSettings(),
     action: ExchangeSimulation.() -> T,
 ): T =
-    ExchangeSimulation(size, zones, random, bounds, joining, operationsLog).run {
+    ExchangeSimulation(size, zones, random, bounds, joining, operationsLog, routing).run {
         try {
             action()
         } finally {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/ForwardingSettingsSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/ForwardingSettingsSpec.kt
@@ -38,6 +38,17 @@
             parseForwardingSettings("$text\n[bounds]\n$bounds", "node.toml").map { it.bounds } shouldBe Ok(expected)
         }
 
+        // Guards against parts of routing that take effect in deployments which do not ask for them.
+        it("enable parts of routing only if they say so, and bound the queue within reason") {
+            parseForwardingSettings(text, "node.toml").get()?.routing shouldBe
+                RoutingSettings(capacityAdmission = false, fairQueueing = false, queueCapacity = 0, targetSpeed = false, zoneBalancing = false)
+            val routing = "fair_queueing = true\nqueue_capacity = 500"
+            parseForwardingSettings("$text\n[routing]\n$routing", "node.toml").map { it.routing } shouldBe
+                Ok(RoutingSettings(fairQueueing = true, queueCapacity = 500))
+            errorFor("$text\n[routing]\nqueue_capacity = -1").shouldBeInstanceOf<SettingsError.ValueNotAllowed>().key shouldBe
+                "routing.queue_capacity"
+        }
+
         it("reject a bound that is not a number") {
             errorFor("$text\n[bounds]\nretry_slack = true").shouldBeInstanceOf<SettingsError.Malformed>()
         }
