--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -11,6 +11,7 @@
 import org.cactuspulley.core.forwarding.ExpectedWork
 import org.cactuspulley.core.forwarding.ForwardedRequest
 import org.cactuspulley.core.forwarding.ForwardingGrant
+import org.cactuspulley.core.forwarding.OccupiedCapacity
 import org.cactuspulley.core.forwarding.RateLimitAdmission
 import org.cactuspulley.core.forwarding.Repeatability
 import org.cactuspulley.core.forwarding.ReportedLoad
@@ -131,6 +132,9 @@
     )
         private set
 
+    /** What the attempt occupies at its target; null before its start, or if capacity is not taken into account. */
+    private var occupied: OccupiedCapacity? = null
+
     /** Identifies the attempt. */
     val id = AttemptId("${request.id.text}#${progress.sentAttempts}")
 
@@ -162,6 +166,7 @@
     fun start(address: HostAndPort) {
         if (state.zoneBalance != null) expectedWork = ExpectedWork.at(target, units, request.prompt != null, startedAt)
         target.load.add(units)
+        occupied = state.capacity.recordStart(target, request.prompt, grant.isolatedWorkspace)
         admission = state.rateLimits.admit(target, startedAt)
         context.connections.acquire(target.id, address, request.id) { channel ->
             connected(channel, address)
@@ -507,6 +512,7 @@
         silence.end()
         if (!isWritten) state.rateLimits.giveBack(admission)
         target.load.add(-units)
+        if (state.capacity.recordEnd(target, occupied, context.clock.now())) context.scheduleDigest()
         memory.resize(0)
         observer.closed(this)
         events?.release()
