Add the types of releases and share the order lease

The signatures are those that the runtime builds on; the controller decides nothing yet. OrderLease can be required by weight orders and by releases, and WeightRollout claims it for both.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/OrderLease.kt
@@ -9,6 +9,7 @@
 
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.MonotonicTime
+import java.util.EnumSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -49,6 +50,15 @@
 /** The right to send orders with [fencingToken] before [sendDeadline]. */
 public data class OrderRight(val fencingToken: Long, val sendDeadline: MonotonicTime)
 
+/** What the right to issue orders is used for. */
+public enum class LeaseUse {
+    /** Orders to targets to load weights. */
+    WEIGHTS,
+
+    /** The state and the status of releases. */
+    RELEASES,
+}
+
 /** Decides when an instance claims the right to issue orders and how long it holds it; confined to one thread. */
 public class OrderLease(private val self: InstanceId, private val fleet: FleetView, private val settings: RolloutSettings) {
     /**
@@ -62,6 +72,8 @@
         val replaceableAt: MonotonicTime,
     )
 
+    /** The uses for which the lease is claimed and renewed. */
+    private val uses = EnumSet.noneOf(LeaseUse::class.java)
     private var newest: KnownClaim? = null
     private var isClaiming = false
 
@@ -115,6 +127,15 @@
         return true
     }
 
+    /** Whether any use requires the lease; [claim] is to be called only then. */
+    public val isRequired: Boolean get() = uses.isNotEmpty()
+
+    /** Sets whether [use] requires the lease. */
+    public fun require(use: LeaseUse, isRequired: Boolean) {
+        if (isRequired) uses.add(use) else uses.remove(use)
+        if (uses.isEmpty()) rest()
+    }
+
     /**
      * Returns the claim to make or to renew at [now], or null if there is none. [isStopping] tells that the instance shuts down, which
      * lets it renew a claim but not make one.
@@ -203,7 +224,7 @@
         retry(now)
     }
 
-    /** Ends all waiting, because there is nothing to order. A claim is not renewed then. */
+    /** Ends all waiting, because there is nothing to order. */
     public fun rest() {
         claimAt = null
         isStaggered = false
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetEntry.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetEntry.kt
@@ -16,6 +16,7 @@
  *    under the same id.
  * @property reportNumber the number of reports that the target has published since its start.
  * @property weights the version of each model's weights that the target has loaded.
+ * @property softwareVersion the version of the target's software; empty if the target does not state it.
  */
 public data class TargetEntry(
     val id: TargetId,
@@ -27,6 +28,7 @@
     val startedAtMillis: Long,
     val reportNumber: Long,
     val weights: Map<ModelName, Long>,
+    val softwareVersion: String = "",
 ) {
     /** Returns whether this entry comes from a later start than [other], or is a later report of the same start. */
     public fun isNewerThan(other: TargetEntry): Boolean =
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -6,6 +6,7 @@
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.core.model.rendezvousRank
+import org.cactuspulley.core.rollout.VersionSelector
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -63,13 +64,14 @@
     private val zone: ZoneName,
     private val rateLimits: TargetRateLimits,
     private val random: Random = Random.Default,
+    private val versions: VersionSelector? = null,
 ) {
     /** Returns the target for [criteria], or null if no target can accept the request now. */
     public fun select(criteria: SelectionCriteria, now: MonotonicTime): Target? {
         val eligible = directory.members(criteria.grant.pool)
             .filter { isEligible(it, criteria, now) && !it.isPaused(now) && rateLimits.admits(it, now) }
         if (eligible.isEmpty()) return null
-        val healthy = eligible.filterNot { it.health.isExcluded(now) }
+        val healthy = preferredVersions(eligible.filterNot { it.health.isExcluded(now) }, criteria)
         if (healthy.isEmpty()) return if (criteria.isLastResort) eligible.minBy { it.health.excludedUntil ?: now } else null
         val notLoading = if (criteria.prompt == null) healthy else healthy.filterNot { isLoading(it, now) }.ifEmpty { healthy }
         notLoading.firstOrNull { rateLimits.isUnconfirmed(it, now) && hasPreferredWeights(it, criteria, now) }?.let { return it }
@@ -120,11 +122,15 @@
 
     private fun isEligible(target: Target, criteria: SelectionCriteria, now: MonotonicTime): Boolean {
         if (target.isLeaving || target.id in criteria.excluded) return false
+        if (versions?.allows(target, criteria.grant, now) == false) return false
         val model = criteria.prompt?.model ?: return true
         val weights = target.probableWeights(model, now) ?: return false
         return criteria.minimumWeights == null || weights >= criteria.minimumWeights
     }
 
+    private fun preferredVersions(candidates: List<Target>, criteria: SelectionCriteria): List<Target> =
+        versions?.preferred(candidates, criteria.grant, isRepeat = criteria.excluded.isNotEmpty()) ?: candidates
+
     private fun isLoading(target: Target, now: MonotonicTime): Boolean = target.loadingUntil?.let { now < it } ?: false
 
     private fun byAffinity(candidates: List<Target>, model: ModelName, criteria: SelectionCriteria, now: MonotonicTime): Target {
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/WeightRollout.kt
@@ -129,9 +129,10 @@
     private val self: InstanceId,
     private val directory: TargetDirectory,
     private val desired: DesiredWeightsTracker,
-    private val fleet: FleetView,
+    fleet: FleetView,
     private val serviceTimes: ServiceTimesRegistry,
     private val settings: RolloutSettings = RolloutSettings(),
+    private val lease: OrderLease = OrderLease(self, fleet, settings),
 ) {
     private class TargetUpdate(val target: TargetId, val model: ModelName) {
         var nextReportAt: MonotonicTime? = null
@@ -141,7 +142,6 @@
     }
 
     private val updates = LinkedHashMap<TargetId, TargetUpdate>()
-    private val lease = OrderLease(self, fleet, settings)
 
     /** Whether this instance held the order lease at the last [step]. */
     private var isOrdering = false
@@ -186,17 +186,17 @@
 
     /**
      * Advances the rollout and returns the actions to perform at [now]. [isStopping] tells that the instance shuts down: it finishes a
-     * rollout that it has begun, but begins none.
+     * rollout that it has begun, but begins none. The lease is also claimed if only another use of it requires that.
      */
     public fun step(now: MonotonicTime, isStopping: Boolean = false): List<RolloutAction> {
+        val actions = mutableListOf<RolloutAction>()
+        lease.require(LeaseUse.WEIGHTS, isNeeded)
+        if (lease.isRequired) lease.claim(now, isStopping)?.let(actions::add)
         if (!isNeeded) {
             updates.clear()
-            lease.rest()
             isOrdering = false
-            return emptyList()
+            return actions
         }
-        val actions = mutableListOf<RolloutAction>()
-        lease.claim(now, isStopping)?.let(actions::add)
         isOrdering = lease.isHeld(now)
         updates.values.removeIf { isDone(it) }
         if (isOrdering) actions += requestReports(now) else forgetDrains(now)
