--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
@@ -39,6 +39,9 @@
     /** Returns whether requests may be sent to the new version at [now] while the release is active: the holder confirmed it recently. */
     public fun isPermitted(now: MonotonicTime): Boolean = stage != null && heardAt?.let { now - it < PERMISSION } ?: false
 
+    /** Returns whether [orderId] is that of this release; a store that is restored gives its order an id of a later era. */
+    internal fun isSame(orderId: ReleaseOrderId): Boolean = orderId == id || orderId.era != id.era
+
     internal companion object {
         /**
          * How long a confirmation permits requests to the new version. It outlasts four of the holder's digests, and ends while a holder that
@@ -66,6 +69,9 @@
         /** Unknown versions and when their first entry was seen; they wait for a read of the operators' topic. */
         val awaiting = HashMap<String, MonotonicTime>()
 
+        /** The versions that appeared during a release and may not serve while it is active. */
+        val refused = HashSet<String>()
+
         /** The targets of all known orders by their offsets, which a restored store shows again. */
         val orders = HashMap<Long, String>()
     }
@@ -89,7 +95,10 @@
     /** Whether the operators' topic has to be read, because an entry showed an unknown version. */
     public val awaitsOperators: Boolean get() = versions.values.any { it.awaiting.isNotEmpty() }
 
-    /** The states to tell peers, with the time at which the holder confirmed each. */
+    /**
+     * The states to tell peers, with the time at which the holder confirmed each. All instances tell them, so that a final stage
+     * outlives a holder that is lost before the store shows it.
+     */
     public val states: List<HeardState> get() = releases.values.mapNotNull { release -> state(release.service)?.let { HeardState(it, release.heardAt) } }
 
     /** Returns the newest release of [service], or null if none is known. */
@@ -152,6 +161,7 @@
         val release = Release(order.service, order.targetVersion, order.id, order.seenAt, order.deadline)
         releases[order.service] = release
         known.awaiting.remove(order.targetVersion)
+        known.refused.clear()
         if (order.targetVersion in known.rejected) {
             release.stage = ReleaseStage.RolledBack
         } else {
@@ -166,7 +176,8 @@
      */
     public fun recordState(state: ReleaseState, heardAt: MonotonicTime?): Boolean {
         val known = versionsOf(state.service)
-        known.rejected += state.rejectedVersions
+        val completed = releases[state.service]?.takeIf { it.stage == ReleaseStage.Completed }?.targetVersion
+        known.rejected += state.rejectedVersions.filter { it != completed }
         known.served += state.servedVersions
         known.served -= known.rejected
         val release = matching(state, heardAt) ?: return false
@@ -180,11 +191,12 @@
         val known = releases[state.service]
         if (known != null) {
             val isSame = known.targetVersion == state.targetVersion
-            if (isSame && (state.orderId == known.id || state.orderId.era != known.id.era)) return known
+            if (isSame && known.isSame(state.orderId)) return known
             val isOld = !isSame && orders[state.orderId.offset] == state.targetVersion
             if (isOld || state.orderId < known.id) return null
         }
         orders[state.orderId.offset] = state.targetVersion
+        versionsOf(state.service).served.remove(state.targetVersion)
         return Release(state.service, state.targetVersion, state.orderId, heardAt ?: MonotonicTime.ZERO, state.deadline).also {
             releases[state.service] = it
             versionsOf(state.service).awaiting.remove(state.targetVersion)
@@ -193,11 +205,12 @@
 
     /** Records [state], which the topic of releases showed at [now]. A stage that was known before may be that of a lost holder. */
     public fun recordStored(state: ReleaseState, now: MonotonicTime): Boolean {
-        val isNews = releases[state.service]?.let { it.targetVersion != state.targetVersion || it.stage != state.stage } ?: true
+        val known = releases[state.service]?.takeIf { it.targetVersion == state.targetVersion }
+        val isNews = known?.stage?.let { state.stage.rank > it.rank } ?: true
         return recordState(state, now.takeIf { isNews })
     }
 
-    /** Records at [now] that this instance, the holder of the lease, has moved [release] to [stage]. */
+    /** Records that [release] is in [stage], which the holder confirmed at [heardAt]; returns whether that is news. */
     internal fun apply(release: Release, stage: ReleaseStage, heardAt: MonotonicTime?, reportedEra: Long?): Boolean {
         val before = release.stage
         heardAt?.let { heard -> release.heardAt = release.heardAt?.let { maxOf(it, heard) } ?: heard }
@@ -209,6 +222,7 @@
         release.stage = stage
         release.reportedEra = reportedEra
         val known = versionsOf(release.service)
+        if (stage.isFinal) known.refused.clear()
         if (stage == ReleaseStage.Completed) known.served += release.targetVersion
         if (stage == ReleaseStage.RolledBack) {
             known.rejected += release.targetVersion
@@ -220,7 +234,8 @@
     /** Records that the registry showed an entry with [version] in [pool] at [now]. */
     public fun recordEntry(pool: PoolName, version: String, now: MonotonicTime) {
         val known = versionsOf(pool)
-        if (version.isEmpty() || version in known.served || version in known.rejected || releases[pool]?.targetVersion == version) return
+        if (version.isEmpty() || releases[pool]?.targetVersion == version) return
+        if (version in known.served || version in known.rejected || version in known.refused) return
         known.awaiting.putIfAbsent(version, now)
         settle(pool, known)
     }
@@ -236,7 +251,7 @@
         val readFrom = operatorsReadFrom ?: return
         val ready = known.awaiting.filterValues { it <= readFrom }.keys.toSet()
         known.awaiting -= ready
-        if (releases[pool]?.isActive != true) known.served += ready - known.rejected
+        if (releases[pool]?.isActive == true) known.refused += ready else known.served += ready - known.rejected
     }
 
     /**
@@ -252,8 +267,9 @@
         val current = versionsOf(pool)
         if (version in current.served) return true
         if (version in current.awaiting) return false
+        val alternatives = others - current.rejected
         // An instance that has started during a release knows the version that served before by its being the only other one.
-        return current.served.isEmpty() && (others - release?.targetVersion - version - current.rejected).isEmpty()
+        return alternatives.isEmpty() || (current.served.isEmpty() && alternatives.all { it == release?.targetVersion })
     }
 
     private fun versionsOf(pool: PoolName) = versions.getOrPut(pool) { Versions() }
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseEvidence.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseEvidence.kt
@@ -37,6 +37,9 @@
     /** Returns the number of latencies that are certainly longer than [limit]. */
     public fun countAbove(limit: Duration): Long = buckets.filterKeys { it > bucketOf(limit) }.values.sum()
 
+    /** Returns the latency above which a response is several times slower than usual; null if too few are known. */
+    public fun slowLimit(): Duration? = if (count < MINIMUM_COUNT) null else quantile(0.5)?.let { maxOf(it * SLOW_FACTOR, it + SMALL_DELAY) }
+
     private fun combine(other: LatencyHistogram, operation: (Long, Long) -> Long) = LatencyHistogram(
         (buckets.keys + other.buckets.keys).associateWith { operation(buckets[it] ?: 0, other.buckets[it] ?: 0) }.filterValues { it != 0L },
     )
@@ -49,6 +52,15 @@
         /** The last bucket begins above a minute, which no response to a caller takes to start. */
         private const val LAST_BUCKET = 50
 
+        /** A median of fewer latencies is too uncertain. */
+        private const val MINIMUM_COUNT = 10
+
+        /** Targets that share their machines differ by a factor of two; a version that is several times slower exceeds this. */
+        private const val SLOW_FACTOR = 2.5
+
+        /** Delays of the event loop are not a fault of a version whose responses take only a few milliseconds. */
+        private val SMALL_DELAY = 5.milliseconds
+
         /** Returns the bucket of [latency]. */
         public fun bucketOf(latency: Duration): Int {
             val ratio = latency / FIRST_BOUND
@@ -60,15 +72,22 @@
     }
 }
 
-/** The number of [responses] of a target since the order, and how many of them were [failures]. */
-public data class TargetEvidence(val responses: Long, val failures: Long) {
+/**
+ * The number of [responses] of a target since the order, how many of them were [failures], and how many were [slow]: they took several
+ * times as long to start as the instance that counted them was used to on their route.
+ */
+public data class TargetEvidence(val responses: Long, val failures: Long, val slow: Long = 0) {
     /** Returns the sum of both. */
     public operator fun plus(other: TargetEvidence): TargetEvidence =
-        TargetEvidence(responses + other.responses, failures + other.failures)
+        TargetEvidence(responses + other.responses, failures + other.failures, slow + other.slow)
 
     /** Returns what was added since [earlier]. */
     public operator fun minus(earlier: TargetEvidence): TargetEvidence =
-        TargetEvidence((responses - earlier.responses).coerceAtLeast(0), (failures - earlier.failures).coerceAtLeast(0))
+        TargetEvidence(
+            (responses - earlier.responses).coerceAtLeast(0),
+            (failures - earlier.failures).coerceAtLeast(0),
+            (slow - earlier.slow).coerceAtLeast(0),
+        )
 }
 
 /** What is counted together: the responses of one software version on one route. */
@@ -121,8 +140,13 @@
     public val evidence: ReleaseEvidence get() = ReleaseEvidence(service, orderId, routes.toMap())
 
     /** Records that a response that is not a failure so far began [latency] after its request was sent to [target]. */
-    public fun recordStart(route: RouteName, version: String, target: TargetId, latency: Duration): Unit =
-        add(route, version, RouteEvidence(mapOf(target to TargetEvidence(1, 0)), LatencyHistogram(mapOf(LatencyHistogram.bucketOf(latency) to 1))))
+    public fun recordStart(route: RouteName, version: String, target: TargetId, latency: Duration) {
+        val bucket = LatencyHistogram.bucketOf(latency)
+        val usual = routes.filterKeys { it.route == route }.values.fold(LatencyHistogram()) { sum, counts -> sum + counts.starts }
+        val isSlow = usual.slowLimit()?.let { bucket > LatencyHistogram.bucketOf(it) } ?: false
+        val counts = TargetEvidence(1, 0, if (isSlow) 1 else 0)
+        add(route, version, RouteEvidence(mapOf(target to counts), LatencyHistogram(mapOf(bucket to 1))))
+    }
 
     /** Records a failure of [target]; [hasStarted] tells that [recordStart] has counted the response. */
     public fun recordFailure(route: RouteName, version: String, target: TargetId, hasStarted: Boolean): Unit =
@@ -145,9 +169,9 @@
         if (evidence.isNotEmpty()) reports.merge(instance to incarnation, evidence.associateBy { it.service }) { old, new -> old + new }
     }
 
-    /** Discards the evidence of releases other than [current]. */
-    public fun retain(current: Set<ReleaseOrderId>) {
-        reports.replaceAll { _, byService -> byService.filterValues { it.orderId in current } }
+    /** Discards the evidence of all but the newest releases. */
+    public fun retain(releases: ReleaseDirectory) {
+        reports.replaceAll { _, byService -> byService.filterValues { releases[it.service]?.isSame(it.orderId) ?: false } }
         reports.values.removeIf { it.isEmpty() }
     }
 }
