--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/EvidenceJudge.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/EvidenceJudge.kt
@@ -5,6 +5,7 @@
 package org.cactuspulley.core.rollout
 
 import org.cactuspulley.core.model.RouteName
+import java.util.Locale
 import kotlin.math.exp
 import kotlin.math.ln
 
@@ -106,7 +107,8 @@
         } / rates.size
     }
 
-    private fun describe(sample: Sample) = "${sample.bad} of ${sample.trials}: ${sample.subject}, usual fraction ${"%.3f".format(sample.usual)}"
+    private fun describe(sample: Sample) =
+        "${sample.bad} of ${sample.trials}: ${sample.subject}, usual fraction ${"%.3f".format(Locale.ROOT, sample.usual)}"
 
     private companion object {
         /** A good version is taken for a bad one with a probability of one in a thousand for each sample that is judged. */
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/Release.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/Release.kt
@@ -35,8 +35,13 @@
         private val NOTICE_TIME = 1.seconds
 
         /** Returns the order with [duration] that this instance first sees at [now]. */
-        public fun seen(service: PoolName, targetVersion: String, id: ReleaseOrderId, duration: Duration, now: MonotonicTime): ReleaseOrder =
-            ReleaseOrder(service, targetVersion, id, now, now + (duration - NOTICE_TIME).coerceAtLeast(Duration.ZERO))
+        public fun seen(
+            service: PoolName,
+            targetVersion: String,
+            id: ReleaseOrderId,
+            duration: Duration,
+            now: MonotonicTime,
+        ): ReleaseOrder = ReleaseOrder(service, targetVersion, id, now, now + (duration - NOTICE_TIME).coerceAtLeast(Duration.ZERO))
     }
 }
 
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseController.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseController.kt
@@ -59,8 +59,8 @@
 
     /**
      * Advances all releases at [now] by the [evidence] of all instances and returns the actions to perform. It is to be called at least
-     * every 100 ms while [isLeaseNeeded], and whenever a result arrives. [isLeaseHeld] may be true only after the topic of releases was read
-     * since the lease was claimed, so that a new holder does not decide against a final stage of the one before.
+     * every 100 ms while [isLeaseNeeded], and whenever a result arrives. [isLeaseHeld] may be true only after the topic of releases was
+     * read since the lease was claimed, so that a new holder does not decide against a final stage of the one before.
      */
     public fun step(now: MonotonicTime, evidence: Collection<ReleaseEvidence>, isLeaseHeld: Boolean): List<ReleaseAction> =
         releases.all.mapNotNull { release ->
@@ -88,7 +88,9 @@
 
     private fun judge(progress: Progress, required: Int, now: MonotonicTime): ReleaseVerdict {
         val total = progress.snapshots.last().evidence
-        val recent = RECENT_PERIODS.mapNotNull { period -> progress.snapshots.lastOrNull { it.at <= now - period }?.let { total - it.evidence } }
+        val recent = RECENT_PERIODS.mapNotNull { period ->
+            progress.snapshots.lastOrNull { it.at <= now - period }?.let { total - it.evidence }
+        }
         return judge.verdict(progress.release.targetVersion, total, recent, required).also { progress.verdict = it }
     }
 
@@ -99,7 +101,10 @@
         val deadline = release.deadline
         val latest = if (deadline == null) progress.since + ORDER_READ_LIMIT else deadline - COMPLETION_TIME
         val verdict = judge(progress, COMPLETION_RESPONSES, now)
-        if (verdict is ReleaseVerdict.Faulty || now > latest) releases.apply(release, ReleaseStage.RolledBack, now, null)
+        // A write that is still under way when the end is due must not cost a healthy version its release; one more attempt is left.
+        val isHeldUp = progress.pending != null && verdict == ReleaseVerdict.Healthy && deadline != null
+        val limit = if (isHeldUp) latest + COMPLETION_TIME / 2 else latest
+        if (verdict is ReleaseVerdict.Faulty || now > limit) releases.apply(release, ReleaseStage.RolledBack, now, null)
     }
 
     private fun nextWrite(progress: Progress, now: MonotonicTime): ReleaseAction? {
@@ -134,7 +139,7 @@
         val shiftEnd = progress.shiftSince?.let { minOf(it + shiftTime, plannedEnd) } ?: plannedEnd
         return when {
             now >= shiftEnd && judge(progress, COMPLETION_RESPONSES, now) == ReleaseVerdict.Healthy -> ReleaseStage.Completed
-            stage == ReleaseStage.Shifting || now < plannedEnd - shiftTime - STEP_MARGIN -> stage
+            stage == ReleaseStage.Shifting || now < plannedEnd - shiftTime - SHIFT_WRITE_TIME -> stage
             judge(progress, SHIFT_RESPONSES, now) == ReleaseVerdict.Healthy -> ReleaseStage.Shifting
             else -> stage
         }
@@ -179,6 +184,9 @@
         /** The time within which the next step follows and peers hear of a stage. */
         val STEP_MARGIN: Duration = 150.milliseconds
 
+        /** The time in which a slow store takes the state that begins the shift, and a step. */
+        val SHIFT_WRITE_TIME: Duration = 400.milliseconds
+
         /** The delay before a write is repeated; a slow answer of the store is not followed by a burst of writes. */
         val RETRY_DELAY: Duration = 100.milliseconds
 
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
@@ -33,6 +33,10 @@
     public var reportedEra: Long? = null
         internal set
 
+    /** Whether the new version could serve before the order; it may then serve beyond the budget if there is no other one. */
+    public var wasServing: Boolean = false
+        internal set
+
     /** Whether the release is neither completed nor rolled back. */
     public val isActive: Boolean get() = stage?.isFinal != true
 
@@ -44,8 +48,8 @@
 
     internal companion object {
         /**
-         * How long a confirmation permits requests to the new version. It outlasts four of the holder's digests, and ends while a holder that
-         * was lost has not been replaced.
+         * How long a confirmation permits requests to the new version. It outlasts four of the holder's digests, and ends while a holder
+         * that was lost has not been replaced.
          */
         val PERMISSION = 2.seconds
     }
@@ -99,7 +103,8 @@
      * The states to tell peers, with the time at which the holder confirmed each. All instances tell them, so that a final stage
      * outlives a holder that is lost before the store shows it.
      */
-    public val states: List<HeardState> get() = releases.values.mapNotNull { release -> state(release.service)?.let { HeardState(it, release.heardAt) } }
+    public val states: List<HeardState>
+        get() = releases.values.mapNotNull { release -> state(release.service)?.let { HeardState(it, release.heardAt) } }
 
     /** Returns the newest release of [service], or null if none is known. */
     public operator fun get(service: PoolName): Release? = releases[service]
@@ -159,13 +164,13 @@
     private fun begin(order: ReleaseOrder): Boolean {
         val known = versionsOf(order.service)
         val release = Release(order.service, order.targetVersion, order.id, order.seenAt, order.deadline)
-        releases[order.service] = release
+        releases.put(order.service, release)?.takeIf { it.isActive && it.wasServing }?.let { known.served += it.targetVersion }
         known.awaiting.remove(order.targetVersion)
         known.refused.clear()
         if (order.targetVersion in known.rejected) {
             release.stage = ReleaseStage.RolledBack
         } else {
-            known.served.remove(order.targetVersion)
+            release.wasServing = known.served.remove(order.targetVersion)
         }
         return true
     }
@@ -196,9 +201,10 @@
             if (isOld || state.orderId < known.id) return null
         }
         orders[state.orderId.offset] = state.targetVersion
-        versionsOf(state.service).served.remove(state.targetVersion)
+        val wasServing = versionsOf(state.service).served.remove(state.targetVersion)
         return Release(state.service, state.targetVersion, state.orderId, heardAt ?: MonotonicTime.ZERO, state.deadline).also {
             releases[state.service] = it
+            it.wasServing = wasServing
             versionsOf(state.service).awaiting.remove(state.targetVersion)
         }
     }
@@ -258,7 +264,7 @@
      * Returns whether requests to [pool] may run on [version], apart from the budget of a release. [others] are the versions of its other
      * targets.
      */
-    public fun allows(pool: PoolName, version: String, others: Set<String>, now: MonotonicTime): Boolean {
+    public fun allows(pool: PoolName, version: String, now: MonotonicTime, others: () -> Set<String>): Boolean {
         val known = versions[pool]
         val release = releases[pool]
         if (known != null && version in known.rejected) return false
@@ -267,10 +273,13 @@
         val current = versionsOf(pool)
         if (version in current.served) return true
         if (version in current.awaiting) return false
-        val alternatives = others - current.rejected
+        val alternatives = others() - current.rejected
         // An instance that has started during a release knows the version that served before by its being the only other one.
         return alternatives.isEmpty() || (current.served.isEmpty() && alternatives.all { it == release?.targetVersion })
     }
 
+    /** Returns whether [version] was not rolled back in [pool]. */
+    internal fun mayServe(pool: PoolName, version: String): Boolean = versions[pool]?.rejected?.contains(version) != true
+
     private fun versionsOf(pool: PoolName) = versions.getOrPut(pool) { Versions() }
 }
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseEvidence.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseEvidence.kt
@@ -10,7 +10,6 @@
 import kotlin.math.pow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 
 /** The number of latencies in each bucket; buckets without any are left out. Messages carry the map. */
 public data class LatencyHistogram(val buckets: Map<Int, Long> = emptyMap()) {
@@ -21,7 +20,8 @@
     public operator fun plus(other: LatencyHistogram): LatencyHistogram = combine(other, Long::plus)
 
     /** Returns what was added since [earlier]. */
-    public operator fun minus(earlier: LatencyHistogram): LatencyHistogram = combine(earlier) { own, before -> (own - before).coerceAtLeast(0) }
+    public operator fun minus(earlier: LatencyHistogram): LatencyHistogram =
+        combine(earlier) { own, before -> (own - before).coerceAtLeast(0) }
 
     /** Returns the smallest bound of a bucket that [fraction] of the latencies do not exceed; null if there are none. */
     public fun quantile(fraction: Double): Duration? {
@@ -38,7 +38,8 @@
     public fun countAbove(limit: Duration): Long = buckets.filterKeys { it > bucketOf(limit) }.values.sum()
 
     /** Returns the latency above which a response is several times slower than usual; null if too few are known. */
-    public fun slowLimit(): Duration? = if (count < MINIMUM_COUNT) null else quantile(0.5)?.let { maxOf(it * SLOW_FACTOR, it + SMALL_DELAY) }
+    public fun slowLimit(): Duration? =
+        if (count < MINIMUM_COUNT) null else quantile(0.5)?.let { maxOf(it * SLOW_FACTOR, it + SMALL_DELAY) }
 
     private fun combine(other: LatencyHistogram, operation: (Long, Long) -> Long) = LatencyHistogram(
         (buckets.keys + other.buckets.keys).associateWith { operation(buckets[it] ?: 0, other.buckets[it] ?: 0) }.filterValues { it != 0L },
@@ -46,17 +47,20 @@
 
     public companion object {
         /** The ratio of the bounds of successive buckets; a latency that is several times longer is several buckets away. */
-        private const val BUCKET_RATIO = 1.25
+        private const val BUCKET_RATIO = 1.15
         private val FIRST_BOUND = 1.milliseconds
 
         /** The last bucket begins above a minute, which no response to a caller takes to start. */
-        private const val LAST_BUCKET = 50
+        private const val LAST_BUCKET = 80
 
         /** A median of fewer latencies is too uncertain. */
         private const val MINIMUM_COUNT = 10
 
-        /** Targets that share their machines differ by a factor of two; a version that is several times slower exceeds this. */
-        private const val SLOW_FACTOR = 2.5
+        /**
+         * Targets that share their machines differ by a factor of two; a version that is several times slower exceeds this. With the
+         * width of two buckets it is 2.2 to 2.9.
+         */
+        private const val SLOW_FACTOR = 2.2
 
         /** Delays of the event loop are not a fault of a version whose responses take only a few milliseconds. */
         private val SMALL_DELAY = 5.milliseconds
@@ -64,11 +68,11 @@
         /** Returns the bucket of [latency]. */
         public fun bucketOf(latency: Duration): Int {
             val ratio = latency / FIRST_BOUND
-            return if (ratio < 1.0) 0 else (floor(ln(ratio) / ln(BUCKET_RATIO)).toInt() + 1).coerceIn(0, LAST_BUCKET)
+            return if (ratio < 1.0) 0 else minOf(floor(ln(ratio) / ln(BUCKET_RATIO)) + 1, LAST_BUCKET.toDouble()).toInt()
         }
 
         /** Returns the end of [bucket]. */
-        public fun upperBound(bucket: Int): Duration = (FIRST_BOUND.toDouble(DurationUnit.MILLISECONDS) * BUCKET_RATIO.pow(bucket)).milliseconds
+        public fun upperBound(bucket: Int): Duration = FIRST_BOUND * BUCKET_RATIO.pow(bucket)
     }
 }
 
@@ -98,7 +102,10 @@
  *
  * @property starts the times from sending a request to the first event of a stream or to the head of another response.
  */
-public data class RouteEvidence(val targets: Map<TargetId, TargetEvidence> = emptyMap(), val starts: LatencyHistogram = LatencyHistogram()) {
+public data class RouteEvidence(
+    val targets: Map<TargetId, TargetEvidence> = emptyMap(),
+    val starts: LatencyHistogram = LatencyHistogram(),
+) {
     /** The responses of all targets. */
     val total: TargetEvidence get() = targets.values.fold(TargetEvidence(0, 0), TargetEvidence::plus)
 
@@ -125,11 +132,13 @@
 ) {
     /** Returns the sum of both. */
     public operator fun plus(other: ReleaseEvidence): ReleaseEvidence =
-        copy(routes = (routes.keys + other.routes.keys).associateWith { (routes[it] ?: RouteEvidence()) + (other.routes[it] ?: RouteEvidence()) })
+        copy(routes = (routes.keys + other.routes.keys).associateWith { of(it) + other.of(it) })
 
     /** Returns what was added since [earlier]. */
     public operator fun minus(earlier: ReleaseEvidence): ReleaseEvidence =
-        copy(routes = routes.mapValues { (key, counts) -> counts - (earlier.routes[key] ?: RouteEvidence()) })
+        copy(routes = routes.mapValues { (key, counts) -> counts - earlier.of(key) })
+
+    private fun of(key: EvidenceKey) = routes[key] ?: RouteEvidence()
 }
 
 /** Counts what this instance observes during one release; confined to one thread. */
@@ -169,9 +178,11 @@
         if (evidence.isNotEmpty()) reports.merge(instance to incarnation, evidence.associateBy { it.service }) { old, new -> old + new }
     }
 
-    /** Discards the evidence of all but the newest releases. */
-    public fun retain(releases: ReleaseDirectory) {
-        reports.replaceAll { _, byService -> byService.filterValues { releases[it.service]?.isSame(it.orderId) ?: false } }
+    /** Discards the evidence of all releases but [current]; that of an order whose id has changed with the store's era is kept. */
+    public fun retain(current: Set<ReleaseOrderId>) {
+        reports.replaceAll { _, byService ->
+            byService.filterValues { evidence -> current.any { it == evidence.orderId || it.era != evidence.orderId.era } }
+        }
         reports.values.removeIf { it.isEmpty() }
     }
 }
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/VersionSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/VersionSelector.kt
@@ -22,7 +22,8 @@
     private val settings: ReleaseSettings = ReleaseSettings(),
     private val random: Random = Random.Default,
 ) {
-    private class Counts(val release: Release, val phase: Double) {
+    /** The requests since the order; [credit] is the number of canary requests that are due. */
+    private class Counts(val release: Release, var credit: Double) {
         var total = 0L
         var toNew = 0L
         val toNewByRoute = HashMap<RouteName, Long>()
@@ -33,9 +34,10 @@
     /** Returns whether a request with [grant] may be sent to [target] at [now]. */
     public fun allows(target: Target, grant: ForwardingGrant, now: MonotonicTime): Boolean {
         val version = target.entry.softwareVersion
-        if (!releases.allows(grant.pool, version, otherVersions(grant.pool, version), now)) return false
+        if (!releases.allows(grant.pool, version, now) { otherVersions(grant.pool, version) }) return false
         val release = releases[grant.pool] ?: return true
         if (version != release.targetVersion || !release.isActive) return true
+        if (release.wasServing && otherVersions(grant.pool, version).none { releases.mayServe(grant.pool, it) }) return true
         return hasBudget(release, grant.route.name, now) && (release.stage != ReleaseStage.Canary || target in canaries(release))
     }
 
@@ -61,6 +63,7 @@
         counts.total++
         val isNew = version == release.targetVersion
         if (isNew) counts.toNew++
+        counts.credit = minOf(counts.credit + settings.canaryRatio, CREDIT_LIMIT) - if (isNew) 1.0 else 0.0
         counts.toNewByRoute.merge(route, if (isNew) 1L else 0L, Long::plus)
     }
 
@@ -70,6 +73,7 @@
 
     private fun countsOf(release: Release): Counts =
         countsByPool[release.service]?.takeIf { it.release === release }
+            // Each instance begins at a random part of the interval between two canary requests, so that not all begin late.
             ?: Counts(release, random.nextDouble()).also { countsByPool[release.service] = it }
 
     private fun hasBudget(release: Release, route: RouteName, now: MonotonicTime): Boolean {
@@ -80,11 +84,9 @@
         val isShifting = release.stage == ReleaseStage.Shifting
         if (counts.toNew + 1 > settings.budgetRatio * if (isShifting) projected(next, release, deadline, now) else next) return false
         if (isShifting) return true
-        // Each instance begins at a random part of the interval between two canary requests, so that not all begin late.
-        val credit = settings.canaryRatio * next + counts.phase - counts.toNew
         val routes = (counts.toNewByRoute.keys + route).size
         val isBehind = (counts.toNewByRoute[route] ?: 0) * routes <= counts.toNew
-        return credit >= if (isBehind) 1.0 else ROUTE_CREDIT
+        return counts.credit + settings.canaryRatio >= if (isBehind) 1.0 else ROUTE_CREDIT
     }
 
     /** Returns the [count] of requests that this instance will have sent by [deadline] if the load stays as it is. */
@@ -116,6 +118,9 @@
         /** The credit that a route needs which is ahead of the others: one request is left for a route that is behind. */
         const val ROUTE_CREDIT = 2.0
 
+        /** The credit that an instance may save while there is no new target, so that the first ones are not flooded. */
+        const val CREDIT_LIMIT = 3.0
+
         /** Fewer requests than those of a second say too little about the load. */
         val MINIMUM_ELAPSED = 1.seconds
     }
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/WeightRolloutSpec.kt
@@ -24,7 +24,8 @@
     val desired = DesiredWeightsTracker()
     val fleet = FleetView(member("i-1"))
     val serviceTimes = ServiceTimesRegistry()
-    val rollout = WeightRollout(InstanceId("i-1"), directory, desired, fleet, serviceTimes)
+    val lease = OrderLease(InstanceId("i-1"), fleet, RolloutSettings())
+    val rollout = WeightRollout(InstanceId("i-1"), directory, desired, fleet, serviceTimes, lease = lease)
     var now = START
     var claims = 0
     var renewals = 0
@@ -94,6 +95,19 @@
             simulation.rollout.nextDeadline shouldBe null
         }
 
+        // Guards against a release that nobody decides, because the lease is claimed for weight orders only, and against a lease that is
+        // renewed for ever.
+        it("claims the lease for another use of it as long as that requires it") {
+            val simulation = RolloutSimulation(8)
+            simulation.lease.require(LeaseUse.RELEASES, true)
+            simulation.run(5.seconds)
+            simulation.lease.isHeld(simulation.now) shouldBe true
+            simulation.orders.shouldBeEmpty()
+            simulation.lease.require(LeaseUse.RELEASES, false)
+            simulation.run(5.seconds)
+            simulation.lease.isHeld(simulation.now) shouldBe false
+        }
+
         it("updates all targets to the newest weights, at most half of them at a time, with one order each") {
             val simulation = RolloutSimulation(8)
             simulation.desired.record(MODEL, 2, START)
