--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -49,6 +49,8 @@
  * @property limits the rate limits that targets named to the instance, or lifted.
  * @property occupancy what the instance has in flight at each target; null if the digest does not say, as those of older releases.
  * @property relayedRanges the records that the instance relays to the receiver.
+ * @property releases the states of the releases that the instance knows.
+ * @property releaseEvidence what the instance has observed of the versions of the services that are being released.
  */
 @Serializable
 internal data class FleetDigest(
@@ -81,6 +83,8 @@
     val limits: List<TargetLimitNotice> = emptyList(),
     val occupancy: List<TargetOccupancyNotice>? = null,
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
+    val releases: List<ReleaseNotice> = emptyList(),
+    val releaseEvidence: List<EvidenceNotice> = emptyList(),
 )
 
 /** Encodes and decodes peer messages; ignores unknown fields, because newer versions of the router may send more. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -26,6 +26,9 @@
 import org.cactuspulley.core.quarantine.CrashTracker
 import org.cactuspulley.core.queueing.QueueOrder
 import org.cactuspulley.core.requests.RetryBudget
+import org.cactuspulley.core.rollout.ReleaseDirectory
+import org.cactuspulley.core.rollout.ReleaseSettings
+import org.cactuspulley.core.rollout.VersionSelector
 import org.cactuspulley.runtime.settings.FleetBounds
 import org.cactuspulley.runtime.settings.RoutingSettings
 import kotlin.random.Random
@@ -66,8 +69,17 @@
     /** The most requests that may wait for each pool; without a setting, only the memory of requests limits them. */
     val queueCapacity: Int = routing.queueCapacity.takeIf { it > 0 } ?: Int.MAX_VALUE
 
+    /** The releases of services' software versions. */
+    val releases = ReleaseDirectory(holdsUnknownVersions = routing.stagedReleases)
+
+    /** The bounds of releases. */
+    val releaseSettings = ReleaseSettings(bounds.exposureRatio, bounds.exposureSlack, bounds.rollbackMillis.milliseconds)
+
+    /** Decides which software versions a request may use. */
+    val versions = VersionSelector(releases, directory, releaseSettings, random)
+
     /** Selects a target for each attempt. */
-    val selector = TargetSelector(directory, self.zone, rateLimits, random, zoneBalance, capacity)
+    val selector = TargetSelector(directory, self.zone, rateLimits, random, zoneBalance, capacity, versions)
 
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -112,6 +112,9 @@
 
     private val silence = SilenceWatch(context, target, request.id, this)
 
+    /** What the attempt tells about the release of the service. */
+    private var release: ReleaseObservation = ReleaseObservation.None
+
     /** When the target last sent data of this attempt; [sentAt] before that. */
     private val lastActivityAt: MonotonicTime get() = silence.lastActivityAt
 
@@ -188,6 +191,11 @@
             close()
             return observer.failed(this, SendFailure.NOT_SENT, "the target no longer accepts requests")
         }
+        if (!state.versions.allows(target, grant, context.clock.now())) {
+            releaseUnused(connection)
+            close()
+            return observer.failed(this, SendFailure.NOT_SENT, WRONG_VERSION)
+        }
         admission = state.rateLimits.renew(target, admission, context.clock.now())
         if (admission == RateLimitAdmission.Denied) {
             releaseUnused(connection)
@@ -215,6 +223,7 @@
             !connection.isActive -> failUnsent(connection, SendFailure.UNREACHABLE, "the connection ended before the request was sent")
             now >= progress.deadline -> failUnsent(connection, SendFailure.NOT_SENT, "the deadline passed before the request was sent")
             !state.directory.accepts(target, now) -> failUnsent(connection, SendFailure.NOT_SENT, "the target no longer accepts requests")
+            !state.versions.allows(target, grant, now) -> failUnsent(connection, SendFailure.NOT_SENT, WRONG_VERSION)
             else -> send(connection, address)
         }
     }
@@ -239,6 +248,7 @@
         requestsOnConnection = handler.requestCount
         progress.recordSent()
         log.sent(grant.pool, target.entry.zone)
+        release = context.releases.sent(target, grant)
         connection.flush()
         silence.start(address)
     }
@@ -287,6 +297,7 @@
     override fun canBeSentElsewhere(): Boolean = observer.canBeSentElsewhere(this)
 
     override fun failSilent(reason: String) {
+        release.failed()
         cancel(null)
         observer.failed(this, SendFailure.SILENT, reason)
     }
@@ -303,12 +314,17 @@
         silence.recordActivity()
         if (!grant.route.isStream && head.status in SUCCESS) recordStart()
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt, it.slowdown)) }
+        if (isReleaseResponse(head)) release.started(lastActivityAt - sentAt)
         if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
         if (grant.route.isStream && head.status in STREAM_SUCCESS && head.isSigned) beginStream(response)
         return ResponseOwner.THIS_REQUEST
     }
 
+    /** Whether the response begins with its head and is neither a failure nor a refusal to run the request. */
+    private fun isReleaseResponse(head: TargetResponseHead): Boolean =
+        head.status < SERVER_ERROR && !head.meansNotRun && !head.notRun && !(grant.route.isStream && head.status in STREAM_SUCCESS)
+
     private fun recordAvailability(head: TargetResponseHead) {
         if (head.isLeaving) context.leavingTargets.observed(target)
         // A refusal may be the late copy of an earlier one, from before the target named its limit.
@@ -344,6 +360,7 @@
         if (completeEvents == null) return
         if (!hasEvents) request.prompt?.let { context.pieceQuarantine.answerBegan(it, lastActivityAt) }
         if (!hasEvents) recordStart()
+        if (!hasEvents) release.started(lastActivityAt - sentAt)
         lastEventsAt?.let { longestPause = maxOf(longestPause, lastActivityAt - it) }
         lastEventsAt = lastActivityAt
         hasEvents = true
@@ -371,6 +388,7 @@
 
     /** Gives up a response that is held in memory until it, or an event of it, is complete, and that may have no end. */
     private fun exceedLimit(part: String) {
+        release.failed()
         cancel(null)
         observer.failed(this, SendFailure.BROKEN, "the $part is too large")
     }
@@ -407,11 +425,13 @@
 
     private fun completeStream(stream: EventStreamSplitter, httpResponse: HttpResponse, head: TargetResponseHead) {
         if (stream.hasPartialEvent) {
+            release.failed()
             stream.release()
             return observer.failed(this, SendFailure.BROKEN, "the stream ended within an event")
         }
         // Before the first event, the end of the connection is a sign of a crash rather than of a stream without events.
         if (!stream.hasEvents && observer.lastEventId == null && !httpResponse.isFramed) {
+            release.failed()
             reportSuspectedCrash()
             return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
         }
@@ -429,6 +449,7 @@
             head.status in SUCCESS && !head.isSigned -> SendFailure.BROKEN
             else -> null
         }
+        if (failure == SendFailure.BROKEN || (head.status >= SERVER_ERROR && !head.notRun)) release.failed()
         if (failure == SendFailure.FAILED && !observer.hasStreamBegun && !isUnpromisedRefusal(head)) {
             return observer.targetFailed(this, httpResponse, head.status, body)
         }
@@ -453,6 +474,7 @@
     private fun recordCompletion() {
         val now = context.clock.now()
         target.health.recordSuccess(now)
+        release.started(now - sentAt)
         if (!isResumption) serviceTimes.recordTotal(now - sentAt, now)
     }
 
@@ -472,6 +494,7 @@
     }
 
     override fun onBroken(reason: String) {
+        release.failed()
         close()
         reportSuspectedCrash()
         if (responseHead == null || observer.hasStreamBegun) observer.targetCrashed(this)
@@ -498,6 +521,8 @@
      */
     fun cancel(failure: SendFailure?) {
         if (isClosed) return
+        // The caller may not have waited long enough for a response that is far too late.
+        if (failure != null || (!release.hasStarted && silence.isUnusuallyLong)) release.failed()
         val connection = channel
         connection?.pipeline()?.get(TargetResponseHandler::class.java)?.listener = null
         connection?.config()?.setOption(ChannelOption.SO_LINGER, 0)
@@ -525,5 +550,6 @@
         /** The status codes that begin or continue a stream: all successes but 204 and 205, which have no content. */
         val STREAM_SUCCESS = SUCCESS.toSet() - setOf(204, 205)
         const val SERVER_ERROR = 500
+        const val WRONG_VERSION = "the software version of the target may not be used now"
     }
 }
