Replace the level that a restarted copy of a bucket assumes

Cause: a new copy assumes a sixteenth of the capacity and the whole refill until it hears a peer, and kept both afterwards. Change: the first report of a peer replaces the assumed level, less what the instance has consumed meanwhile.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucket.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucket.kt
@@ -43,6 +43,7 @@
     private var total = 0.0
     private var ratePerSecond = 0.0
     private var rateUpdatedAt = startedAt
+    private var hasAdoptedLevel = false
 
     /** Returns whether the bucket is so low that peers should learn of each admission soon. */
     public fun isRunningLow(now: MonotonicTime): Boolean = available(now) < limit.capacity * LOW_LEVEL_FRACTION
@@ -97,8 +98,8 @@
     }
 
     /**
-     * Deducts what [peer] has consumed since its last report. The first report of a peer deducts nothing, but raises the level of a copy
-     * that is younger than [STARTUP_PERIOD]. The first one after a restart of the peer deducts what the peer has consumed since its start,
+     * Deducts what [peer] has consumed since its last report. The first report of a peer deducts nothing, but a copy that is younger than
+     * [STARTUP_PERIOD] adopts its level, less what this instance has consumed meanwhile. The first one after a restart of the peer deducts what the peer has consumed since its start,
      * and what it probably consumed between its last report and its end.
      */
     public fun recordPeerUsage(peer: InstanceId, incarnation: InstanceIncarnation, usage: TokenBucketUsage, now: MonotonicTime) {
@@ -109,7 +110,7 @@
             if (previous != null) {
                 level -= usage.total + previous.usage.perSecond * seconds((now - previous.receivedAt).coerceAtMost(REPORT_PERIOD))
             }
-            if (now - startedAt < STARTUP_PERIOD) level = maxOf(level, usage.available.coerceAtMost(limit.capacity))
+            if (now - startedAt < STARTUP_PERIOD) adoptLevel(usage.available)
             return
         }
         level = (level - (usage.total - previous.usage.total)).coerceAtMost(limit.capacity)
@@ -117,6 +118,13 @@
         previous.receivedAt = now
     }
 
+    /** Replaces the assumed level of a new copy by the first [reported] one, and by later ones that are higher. */
+    private fun adoptLevel(reported: Double) {
+        val adopted = reported.coerceAtMost(limit.capacity) - total
+        level = if (hasAdoptedLevel) maxOf(level, adopted) else adopted
+        hasAdoptedLevel = true
+    }
+
     /** Returns the units that can be consumed now. */
     public fun available(now: MonotonicTime): Double {
         addRefill(now)
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucketSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucketSpec.kt
@@ -170,6 +170,15 @@
             copy.fleetRate(settled + 60.seconds) shouldBeLessThan 1.0
         }
 
+        // Guards against units that each restarted instance grants from the level and the refill that it assumes before it hears its peers.
+        it("replaces the level that it assumed by the one that a peer reports, less what it has consumed") {
+            val copy = ReplicatedTokenBucket(limit, settled)
+            copy.tryConsume(9_000.0, settled) shouldBe true
+            val heard = settled + 200.milliseconds
+            copy.recordPeerUsage(InstanceId("i-2"), InstanceIncarnation(1), TokenBucketUsage(50_000.0, 0.0, 15_000.0), heard)
+            copy.available(heard) shouldBe 6_000.0
+        }
+
         it("starts almost empty, and adopts the level that a peer reports") {
             val copy = ReplicatedTokenBucket(limit, settled)
             copy.tryConsume(limit.capacity / 8, settled) shouldBe false
