Send proportionally less to targets that are slow

With target_speed, a slowdown of each target is estimated from its load reports, else from start latencies compared with those of its pool, as a median over the time of a request. Digests carry the estimates in a new field; instances of the previous release ignore it.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -182,6 +182,9 @@
     /** The load that all instances place on the target. */
     public val load: TargetLoad = TargetLoad()
 
+    /** How fast the target is. */
+    public val speed: TargetSpeed = TargetSpeed()
+
     /** The time at which anything last arrived from the target; null if nothing has arrived. */
     public var lastReceivedAt: MonotonicTime? = null
 
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -60,6 +60,8 @@
  * from the pool's mean load and the work that the prefix saves. Other requests go to the least loaded target, preferably
  * in the instance's own zone.
  *
+ * With [speeds], the load of a target counts by the time that it takes there, so that slow targets get proportionally less.
+ *
  * With a [zoneBalance], all of this applies to the targets of one zone, which the balance decides on first.
  */
 public class TargetSelector(
@@ -68,6 +70,7 @@
     private val rateLimits: TargetRateLimits,
     private val random: Random = Random.Default,
     private val zoneBalance: ZoneBalance? = null,
+    private val speeds: TargetSpeeds? = null,
 ) {
     /** Returns the target for [criteria], or null if no target can accept the request now. */
     public fun select(criteria: SelectionCriteria, now: MonotonicTime): Target? {
@@ -123,7 +126,7 @@
         now: MonotonicTime,
     ): Duration? {
         val work = ExpectedWork.at(target, terms.units, hasPrompt, now)
-        return balance.expectedStart(flow, target.entry.zone, work, terms.usualTotal, slowdown = 1.0)
+        return balance.expectedStart(flow, target.entry.zone, work, terms.usualTotal, slowdown(target, now))
     }
 
     /**
@@ -177,10 +180,12 @@
     private fun isLoading(target: Target, now: MonotonicTime): Boolean = target.loadingUntil?.let { now < it } ?: false
 
     private fun byAffinity(candidates: List<Target>, model: ModelName, criteria: SelectionCriteria, now: MonotonicTime): Target {
+        speeds?.selectProbe(candidates.filter { hasPreferredWeights(it, criteria, now) }, now)?.let { return it }
         val preferred = criteria.preferredWeights
-        val affinity = criteria.affinity ?: return candidates.minBy { it.load.total(now) }
-        val loads = candidates.associateWith { it.load.total(now) }
-        val loadLimit = prefixUnits(criteria.prompt) + LOAD_LIMIT_FACTOR * loads.values.sum() / candidates.size
+        val loads = candidates.associateWith { loadTime(it, it.load.total(now), ownUnits(criteria), now) }
+        val affinity = criteria.affinity ?: return candidates.minBy { loads.getValue(it) }
+        val totalSpeed = candidates.sumOf { 1 / slowdown(it, now) }
+        val loadLimit = prefixUnits(criteria.prompt) + LOAD_LIMIT_FACTOR * candidates.sumOf { it.load.total(now) } / totalSpeed
         val ranked = rendezvousRank(affinity.toString(), candidates) { it.id.text }.filter { loads.getValue(it) <= loadLimit }
         val preferredTarget = ranked.firstOrNull { preferred == null || (it.probableWeights(model, now) ?: 0) >= preferred }
         return preferredTarget ?: ranked.firstOrNull() ?: candidates.minBy { loads.getValue(it) }
@@ -189,11 +194,31 @@
     /** The load that a request saves at a target that has its shared pieces; waiting behind as much takes no longer than it saves. */
     private fun prefixUnits(prompt: PromptDescription?): Double = TargetLoad.prefillUnits(prompt?.sharedTokens ?: 0)
 
-    private fun leastLoaded(candidates: List<Target>, now: MonotonicTime): Target = candidates.minBy { target ->
+    private fun slowdown(target: Target, now: MonotonicTime): Double = if (speeds == null) 1.0 else target.speed.slowdown(now)
+
+    private fun ownUnits(criteria: SelectionCriteria): Double =
+        criteria.terms?.units ?: TargetLoad.unitsUntilFirstEvent(criteria.prompt, criteria.prompt?.sharedTokens ?: 0)
+
+    /**
+     * Returns what [load] takes at [target], in units of load at the usual speed. The request's [own] units count by what they take
+     * longer than usual, so that an idle slow target is not preferred to a fast one with little load.
+     */
+    private fun loadTime(target: Target, load: Double, own: Double, now: MonotonicTime): Double {
+        val slowdown = slowdown(target, now)
+        return if (slowdown == 1.0) load else (load + own) * slowdown - own
+    }
+
+    private fun leastLoaded(candidates: List<Target>, now: MonotonicTime): Target {
+        speeds?.selectProbe(candidates, now)?.let { return it }
+        return candidates.minBy { slotUse(it, now) }
+    }
+
+    private fun slotUse(target: Target, now: MonotonicTime): Double {
         val zonePenalty = if (target.entry.zone == zone) 0.0 else OTHER_ZONE_PENALTY
         val reported = target.health.load(now)
         val requests = maxOf(target.load.total(now), (reported?.run { running + waiting } ?: 0).toDouble())
-        requests / target.entry.slots.coerceAtLeast(1) + zonePenalty + random.nextDouble(TIE_BREAK_RANGE)
+        return loadTime(target, requests, own = 1.0, now) / target.entry.slots.coerceAtLeast(1) + zonePenalty +
+            random.nextDouble(TIE_BREAK_RANGE)
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -160,7 +160,14 @@
 
     /** The digest without the state of targets and workspaces, which follows with the regular digests; this keeps the datagram small. */
     private fun FleetDigest.withoutState() =
-        copy(uses = emptyList(), excluded = emptyList(), work = emptyList(), loading = emptyList(), shownWeights = emptyList())
+        copy(
+            uses = emptyList(),
+            excluded = emptyList(),
+            work = emptyList(),
+            loading = emptyList(),
+            shownWeights = emptyList(),
+            speeds = emptyList(),
+        )
 
     /** Sends a crash notice to all peers immediately and repeats it in the next digests. */
     fun sendCrash(notice: CrashNotice) {
@@ -231,9 +238,13 @@
             pieceQuarantines = context.pieceQuarantine.quarantineNotices(now),
             leaving = context.leavingTargets.notices(now),
             limits = context.rateLimits.notices(now),
+            speeds = if (state.targetSpeeds == null) emptyList() else slowdowns(now),
         )
     }
 
+    private fun slowdowns(now: MonotonicTime): List<TargetSlowdown> =
+        state.directory.all.mapNotNull { target -> target.speed.reportToPeers(now)?.let { TargetSlowdown(target.id.text, it) } }
+
     private fun TopicReplica.nextInCurrentEra(): Long? = next.takeIf { era == context.storeEra.current }
 
     private fun shownWeights(): List<ObservedWeights> = state.desiredWeights.all.flatMap { desired ->
@@ -319,6 +330,7 @@
         context.rateLimits.receive(peer.text, digest.limits, at)
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
+        digest.speeds.forEach { state.directory[TargetId(it.target)]?.speed?.recordPeer(peer, it.slowdown, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
         digest.shownWeights.forEach { state.directory[TargetId(it.target)]?.recordWeights(ModelName(it.model), it.version) }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -47,6 +47,7 @@
  * @property pieceQuarantines the quarantines of pieces that hold at the instance.
  * @property leaving the targets that told the instance recently that they are leaving.
  * @property limits the rate limits that targets named to the instance, or lifted.
+ * @property speeds the targets that are slower or faster than usual by the estimate of the instance.
  * @property relayedRanges the records that the instance relays to the receiver.
  */
 @Serializable
@@ -78,6 +79,7 @@
     val pieceQuarantines: List<PieceQuarantineNotice> = emptyList(),
     val leaving: List<LeavingTarget> = emptyList(),
     val limits: List<TargetLimitNotice> = emptyList(),
+    val speeds: List<TargetSlowdown> = emptyList(),
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
 )
 
@@ -164,6 +166,12 @@
 @CborArray
 internal data class TargetWork(val target: String, val units: Double)
 
+/** A [target] at which work takes [slowdown] times as long as usual by the estimate of an instance. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class TargetSlowdown(val target: String, val slowdown: Double)
+
 /** A target that an instance excludes for another [millis] milliseconds. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -145,7 +145,7 @@
         val preferred = state.selector.preferredWeights(grant.pool, newest, now)
         val affinityWeights = if (newest == null) FIRST_WEIGHTS_VERSION else preferred
         val affinity = request.prompt?.let { state.cache.affinity(grant, it, affinityWeights, now) }
-        val terms = if (state.zoneBalance != null) requestTerms(preferred, now) else null
+        val terms = if (state.usesExpectedStarts) requestTerms(preferred, now) else null
         return SelectionCriteria(grant, request.prompt, progress.excluded, minimum, preferred, affinity, terms = terms)
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -202,6 +202,7 @@
         instances.resume()
         updateReadiness()
         state.zoneBalance?.drainShareChanges()?.forEach(log::zoneShare)
+        if (state.targetSpeeds != null) reportSpeeds(now)
         if (context.loopDelay.isDelayed(now)) {
             context.afterNextRead { runSafely { withdrawOutdatedAttempts() } }
         } else {
@@ -210,6 +211,15 @@
         context.plannedStop?.let { stopIfDone(it, now) }
     }
 
+    private fun reportSpeeds(now: MonotonicTime) {
+        state.directory.all.forEach { target ->
+            target.speed.drainChange(now)?.let { log.event("target_speed", "target" to target.id.text, "slowdown" to it) }
+        }
+        state.directory.all.groupBy { it.entry.pool }.forEach { (pool, targets) ->
+            metrics.slowTargets(pool.text, targets.count { it.speed.isSlow(now) })
+        }
+    }
+
     /** Withdraws the requests that wait at targets whose weights are too old to begin on. */
     private fun withdrawOutdatedAttempts() {
         val now = clock.now()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -26,6 +26,9 @@
     private val zoneShares = Gauge.builder().name("cactuspulley_zone_share")
         .help("The share of a route's requests to a pool that leave the instance's zone").labelNames("pool", "route").register(registry)
 
+    private val slowTargets = Gauge.builder().name("cactuspulley_slow_targets")
+        .help("Targets at which work takes longer than usual").labelNames("pool").register(registry)
+
     private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
         .help("The version of the configuration in force; 0 before the first").register(registry)
 
@@ -54,6 +57,9 @@
     /** Sets the [share] of the requests of [route] to [pool] that leave the zone of this instance. */
     fun zoneShare(pool: String, route: String, share: Double) = zoneShares.labelValues(pool, route).set(share)
 
+    /** Sets the number of targets of [pool] that are slower than usual. */
+    fun slowTargets(pool: String, count: Int) = slowTargets.labelValues(pool).set(count.toDouble())
+
     fun configured(version: Long) = configurationVersion.set(version.toDouble())
 
     fun event(name: String) = events.labelValues(name).inc()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -12,6 +12,7 @@
 import org.cactuspulley.core.forwarding.TargetDirectory
 import org.cactuspulley.core.forwarding.TargetRateLimits
 import org.cactuspulley.core.forwarding.TargetSelector
+import org.cactuspulley.core.forwarding.TargetSpeeds
 import org.cactuspulley.core.forwarding.TokenBucketLimit
 import org.cactuspulley.core.forwarding.WeightsLimits
 import org.cactuspulley.core.forwarding.WorkspaceDescription
@@ -51,8 +52,14 @@
     /** Decides which requests leave the zone of this instance; null if the settings do not ask for it. */
     val zoneBalance = if (routing.zoneBalancing) ZoneBalance(self.zone, random) else null
 
+    /** The start latencies from which the speeds of targets are derived; null if the settings do not ask for it. */
+    val targetSpeeds = if (routing.targetSpeed) TargetSpeeds() else null
+
+    /** Whether targets are selected by when a request is expected to start there. */
+    val usesExpectedStarts: Boolean get() = zoneBalance != null || targetSpeeds != null
+
     /** Selects a target for each attempt. */
-    val selector = TargetSelector(directory, self.zone, rateLimits, random, zoneBalance)
+    val selector = TargetSelector(directory, self.zone, rateLimits, random, zoneBalance, targetSpeeds)
 
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
@@ -128,6 +135,7 @@
         if (!authorizer.replace(configuration)) return false
         serviceTimes.retain(configuration)
         zoneBalance?.retain(configuration)
+        targetSpeeds?.retain(configuration)
         for ((name, bucket) in tokenBuckets) {
             configuration.workspaces[name]?.let { bucket.changeLimit(tokenBucketLimit(it), now) }
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -118,7 +118,7 @@
     private var longestPause = Duration.ZERO
     private var lastEventsAt: MonotonicTime? = null
 
-    /** The work at the target when the attempt began; null if no zone is selected by it. */
+    /** The work at the target when the attempt began; null if neither zones nor speeds are derived from it. */
     private var expectedWork: ExpectedWork? = null
 
     /** The permission of the target's rate limit to send the request. */
@@ -160,7 +160,7 @@
 
     /** Acquires a connection to [address] and sends the request as soon as there is one. */
     fun start(address: HostAndPort) {
-        if (state.zoneBalance != null) expectedWork = ExpectedWork.at(target, units, request.prompt != null, startedAt)
+        if (state.usesExpectedStarts) expectedWork = ExpectedWork.at(target, units, request.prompt != null, startedAt)
         target.load.add(units)
         admission = state.rateLimits.admit(target, startedAt)
         context.connections.acquire(target.id, address, request.id) { channel ->
@@ -298,6 +298,9 @@
         silence.recordActivity()
         if (!grant.route.isStream && head.status in SUCCESS) recordStart()
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt, it.slowdown)) }
+        if (state.targetSpeeds != null) {
+            head.load?.slowdown?.let { target.speed.recordReport(it, serviceTimes.medianTotal(lastActivityAt), lastActivityAt) }
+        }
         if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
         if (grant.route.isStream && head.status in STREAM_SUCCESS && head.isSigned) beginStream(response)
@@ -352,7 +355,11 @@
         val work = expectedWork ?: return
         val flow = ZoneFlow(grant.pool, grant.route.name)
         val usualTotal = serviceTimes.medianTotal(lastActivityAt)
-        if (!isResumption) state.zoneBalance?.recordStart(flow, target.entry.zone, work, usualTotal, latency, lastActivityAt)
+        if (isResumption) return
+        // At the usual speed the start would have taken this long.
+        val usualLatency = if (state.targetSpeeds == null) latency else latency / target.speed.slowdown(lastActivityAt)
+        state.zoneBalance?.recordStart(flow, target.entry.zone, work, usualTotal, usualLatency, lastActivityAt)
+        state.targetSpeeds?.recordStart(flow, target, work, usualTotal, latency, lastActivityAt)
     }
 
     private fun markRunning() {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/PeerCodecSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/PeerCodecSpec.kt
@@ -1,6 +1,7 @@
 package org.cactuspulley.runtime.forwarding
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
 import io.kotest.property.Arb
 import io.kotest.property.PropTestConfig
 import io.kotest.property.arbitrary.byte
@@ -9,9 +10,23 @@
 import io.kotest.property.checkAll
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
+/** The fields without defaults of a digest, and one more, as an instance of an earlier release knows them. */
+@Serializable
+private data class PreviousDigest(
+    val id: String,
+    val incarnation: Long,
+    val sequence: Long,
+    val zone: String,
+    val callerAddress: String,
+    val peerAddress: String,
+    val serves: Boolean,
+    val loading: List<String> = emptyList(),
+)
+
 @OptIn(ExperimentalSerializationApi::class)
 class PeerCodecSpec : DescribeSpec({
     /** Decodes [bytes] and lets only the exception pass that all who decode records handle. */
@@ -42,6 +57,28 @@
         }
     }
 
+    describe("a digest of the previous release") {
+        // Guards against instances of two releases that can't read each other's digests during an upgrade.
+        it("has no speeds of targets, and a new digest is readable without them") {
+            val digest = FleetDigest(
+                "i-1",
+                1,
+                1,
+                "zone-a",
+                "10.0.0.1:1",
+                "10.0.0.1:2",
+                serves = true,
+                speeds = listOf(TargetSlowdown("t-1", 1.7)),
+            )
+            val bytes = peerCodec.encodeToByteArray(FleetDigest.serializer(), digest)
+            peerCodec.decodeUntrusted(FleetDigest.serializer(), bytes).speeds shouldBe digest.speeds
+            val previous = peerCodec.decodeUntrusted(PreviousDigest.serializer(), bytes)
+            previous.id shouldBe "i-1"
+            val previousBytes = peerCodec.encodeToByteArray(PreviousDigest.serializer(), previous)
+            peerCodec.decodeUntrusted(FleetDigest.serializer(), previousBytes).speeds shouldBe emptyList()
+        }
+    }
+
     describe("bytes for which the library throws another exception") {
         // Guards against a record or datagram that ends what reads it, because its exception is not the one that is caught.
         it("result in a serialization exception") {
