--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetDirectory.kt
@@ -185,6 +185,9 @@
     /** What all instances have in flight at the target; only recorded where capacity is taken into account. */
     public val occupancy: TargetOccupancy = TargetOccupancy()
 
+    /** How fast the target is. */
+    public val speed: TargetSpeed = TargetSpeed()
+
     /** The time at which anything last arrived from the target; null if nothing has arrived. */
     public var lastReceivedAt: MonotonicTime? = null
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -170,6 +170,7 @@
         shownWeights = emptyList(),
         releaseEvidence = emptyList(),
         occupancy = null,
+        speeds = emptyList(),
     )
 
     /** Sends a crash notice to all peers immediately and repeats it in the next digests. */
@@ -244,6 +245,7 @@
             occupancy = if (state.capacity.isEnabled) occupancy() else null,
             releases = context.releases.notices(now),
             releaseEvidence = context.releases.evidenceNotices(),
+            speeds = if (state.targetSpeeds == null) emptyList() else slowdowns(now),
         )
     }
 
@@ -251,6 +253,9 @@
         target.occupancy.local.let { TargetOccupancyNotice(target.id.text, it.requests, it.tokens) }
     }
 
+    private fun slowdowns(now: MonotonicTime): List<TargetSlowdown> =
+        state.directory.all.mapNotNull { target -> target.speed.reportToPeers(now)?.let { TargetSlowdown(target.id.text, it) } }
+
     private fun TopicReplica.nextInCurrentEra(): Long? = next.takeIf { era == context.storeEra.current }
 
     private fun shownWeights(): List<ObservedWeights> = state.desiredWeights.all.flatMap { desired ->
@@ -339,6 +344,7 @@
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.occupancy?.let { recordOccupancy(peer, it, until) }
+        digest.speeds.forEach { state.directory[TargetId(it.target)]?.speed?.recordPeer(peer, it.slowdown, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
         digest.shownWeights.forEach { state.directory[TargetId(it.target)]?.recordWeights(ModelName(it.model), it.version) }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -48,6 +48,7 @@
  * @property leaving the targets that told the instance recently that they are leaving.
  * @property limits the rate limits that targets named to the instance, or lifted.
  * @property occupancy what the instance has in flight at each target; null if the digest does not say, as those of older releases.
+ * @property speeds the targets that are slower or faster than usual by the estimate of the instance.
  * @property relayedRanges the records that the instance relays to the receiver.
  * @property releases the states of the releases that the instance knows.
  * @property releaseEvidence what the instance has observed of the versions of the services that are being released.
@@ -82,6 +83,7 @@
     val leaving: List<LeavingTarget> = emptyList(),
     val limits: List<TargetLimitNotice> = emptyList(),
     val occupancy: List<TargetOccupancyNotice>? = null,
+    val speeds: List<TargetSlowdown> = emptyList(),
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
     val releases: List<ReleaseNotice> = emptyList(),
     val releaseEvidence: List<EvidenceNotice> = emptyList(),
@@ -176,6 +178,12 @@
 @CborArray
 internal data class TargetOccupancyNotice(val target: String, val requests: Int, val tokens: Long)
 
+/** A [target] at which work takes [slowdown] times as long as usual by the estimate of an instance. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class TargetSlowdown(val target: String, val slowdown: Double)
+
 /** A target that an instance excludes for another [millis] milliseconds. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -41,6 +41,9 @@
     private val releaseFailures =
         counter("cactuspulley_release_failures_total", "Attempts that failed while their service was released", "service", "version")
 
+    private val slowTargets = Gauge.builder().name("cactuspulley_slow_targets")
+        .help("Targets at which work takes longer than usual").labelNames("pool").register(registry)
+
     private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
         .help("The version of the configuration in force; 0 before the first").register(registry)
 
@@ -84,6 +87,9 @@
         occupiedTokens.labelValues(pool).set(occupancy.tokens.toDouble())
     }
 
+    /** Sets the number of targets of [pool] that are slower than usual. */
+    fun slowTargets(pool: String, count: Int) = slowTargets.labelValues(pool).set(count.toDouble())
+
     fun configured(version: Long) = configurationVersion.set(version.toDouble())
 
     fun fleetKnown(instances: Int) = fleetInstances.set(instances.toDouble())
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -14,6 +14,7 @@
 import org.cactuspulley.core.forwarding.TargetDirectory
 import org.cactuspulley.core.forwarding.TargetRateLimits
 import org.cactuspulley.core.forwarding.TargetSelector
+import org.cactuspulley.core.forwarding.TargetSpeeds
 import org.cactuspulley.core.forwarding.TokenBucketLimit
 import org.cactuspulley.core.forwarding.WeightsLimits
 import org.cactuspulley.core.forwarding.WorkspaceDescription
@@ -78,8 +79,14 @@
     /** Decides which software versions a request may use. */
     val versions = VersionSelector(releases, directory, releaseSettings, random)
 
+    /** The start latencies from which the speeds of targets are derived; null if the settings do not ask for it. */
+    val targetSpeeds = if (routing.targetSpeed) TargetSpeeds() else null
+
+    /** Whether targets are selected by when a request is expected to start there. */
+    val usesExpectedStarts: Boolean get() = zoneBalance != null || targetSpeeds != null
+
     /** Selects a target for each attempt. */
-    val selector = TargetSelector(directory, self.zone, rateLimits, random, zoneBalance, capacity, versions)
+    val selector = TargetSelector(directory, self.zone, rateLimits, random, zoneBalance, capacity, versions, targetSpeeds)
 
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
@@ -177,6 +184,7 @@
         if (!authorizer.replace(configuration)) return false
         serviceTimes.retain(configuration)
         zoneBalance?.retain(configuration)
+        targetSpeeds?.retain(configuration)
         for ((name, bucket) in tokenBuckets) {
             configuration.workspaces[name]?.let { bucket.changeLimit(tokenBucketLimit(it), now) }
         }
