--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/EvidenceJudge.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/EvidenceJudge.kt
@@ -76,7 +76,9 @@
         val limit = reference.starts.slowLimit()
         val trials = comparison.new.starts.count
         if (limit == null) return Sample("late starts on ${route.text}", 0, trials, USUAL_SLOW)
-        val usual = reference.starts.countAbove(limit).toDouble() / reference.starts.count
+        // A slowdown of both versions in the period is none of the new one.
+        val usual = listOf(reference, comparison.old).filter { it.starts.count >= MINIMUM_TARGET_RESPONSES }
+            .maxOfOrNull { it.starts.countAbove(limit).toDouble() / it.starts.count } ?: 0.0
         val usualRate = (usual * RATE_MARGIN).coerceIn(USUAL_SLOW, MAXIMUM_RATE)
         return Sample("late starts on ${route.text}", comparison.new.starts.countAbove(limit), trials, usualRate)
     }
@@ -131,7 +133,7 @@
         /** Allows for the uncertainty of the observed old rate. */
         const val RATE_MARGIN = 1.25
 
-        /** A target with fewer responses has no rate. */
+        /** Fewer responses of a target, or of a period, give no rate. */
         const val MINIMUM_TARGET_RESPONSES = 5
 
         /** A route need not have had its full share, because the counts of single instances are rounded down. */
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
@@ -145,9 +145,12 @@
         orders[order.id.offset] = order.targetVersion
         return when {
             known == null -> begin(order)
+
             known.targetVersion == order.targetVersion -> repeat(known, order)
+
             // An order from before the newest one, which is read late or was restored with the store.
             isRepeated || order.id < known.id -> false
+
             else -> begin(order)
         }
     }
