--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -98,6 +98,9 @@
     private var bodyBuffer: ByteBuf = Unpooled.EMPTY_BUFFER
     private var events: EventStreamSplitter? = null
     private val memory = context.responseMemory.Share()
+
+    /** What the connection holds of the request until the target has read it; the caller may have left before. */
+    private val requestMemory = context.requestMemory.Share()
     private var isClosed = false
     private var bodyWritten = false
     private var hasContent = false
@@ -258,6 +261,7 @@
             lastEventId = observer.lastEventId,
         )
         if (state.cache.hasUrgentNotices) context.scheduleDigest()
+        requestMemory.resize(granted.body.size.toLong())
         connection.write(context.targetProtocol.request(message))
         connection.write(DefaultLastHttpContent(Unpooled.wrappedBuffer(granted.body)))
             .addListener { if (it.isSuccess) bodyWritten = true }
@@ -279,6 +283,8 @@
         observer.failed(this, SendFailure.SILENT, reason)
     }
 
+    override val isRequestWritten: Boolean get() = bodyWritten
+
     override fun onHead(response: HttpResponse): ResponseOwner {
         val head = context.targetProtocol.responseHead(response)
         val owner = head.request ?: return ResponseOwner.UNKNOWN
@@ -492,6 +498,7 @@
         if (!isWritten) state.rateLimits.giveBack(admission)
         target.load.add(-units)
         memory.resize(0)
+        requestMemory.resize(0)
         observer.closed(this)
         events?.release()
         if (bodyBuffer.refCnt() > 0 && bodyBuffer !== Unpooled.EMPTY_BUFFER) bodyBuffer.release()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -30,6 +31,9 @@
 
 /** Receives the response to one send attempt; called on the event loop. */
 internal interface TargetResponseListener {
+    /** Whether the request has been written whole. */
+    val isRequestWritten: Boolean get() = true
+
     /** Called with the head of a response; returns which request it belongs to. */
     fun onHead(response: HttpResponse): ResponseOwner
 
@@ -43,8 +47,12 @@
     fun onBroken(reason: String)
 }
 
-/** Passes the data of one connection to the attempt that uses it; closes the connection if data arrives while none does. */
-internal class TargetResponseHandler : ChannelInboundHandlerAdapter() {
+/**
+ * Passes the data of one connection to the attempt that uses it; closes the connection if data arrives while none does.
+ *
+ * @param headMemory the account of the memory for the head of the response.
+ */
+internal class TargetResponseHandler(private val headMemory: BufferMemory.Share? = null) : ChannelInboundHandlerAdapter() {
     /** The attempt that waits for a response; null while the connection is idle. */
     var listener: TargetResponseListener? = null
 
@@ -85,7 +93,9 @@
             return
         }
         if (message is HttpResponse) {
+            invalidity(message, receiver)?.let { return fail(context, "invalid response: $it") }
             if (isInformational(message)) {
+                headMemory?.resize(0)
                 if (++informationalResponses > MAX_INFORMATIONAL_RESPONSES) fail(context, "too many informational responses")
                 return
             }
@@ -104,6 +114,29 @@
         if (message is HttpContent && listener === receiver) readContent(context, message, receiver)
     }
 
+    /**
+     * Returns why [response] is no response to the request of [receiver]; null if it may be one. The end of one without a length may come
+     * from a target that has not read the request.
+     */
+    private fun invalidity(response: HttpResponse, receiver: TargetResponseListener): String? {
+        val version = response.protocolVersion()
+        val status = response.status().code()
+        val headers = response.headers()
+        val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return when {
+            version.protocolName() != HTTP || version.majorVersion() != 1 -> "version $version"
+            status !in STATUSES -> "status $status"
+            status == SWITCHING_PROTOCOLS -> "a change of protocol, for which no request asks"
+            codings.size > 1 || codings.any { !it.equals(CHUNKED, ignoreCase = true) } -> "transfer coding $codings"
+            status == NO_CONTENT && HttpUtil.getContentLength(response, 0L) > 0 -> "status 204 with a body"
+            isInformational(response) || response.isFramed || isBodyless(status) -> null
+            !receiver.isRequestWritten -> "no length, before the request was sent"
+            else -> null
+        }
+    }
+
+    private fun isBodyless(status: Int) = status == NO_CONTENT || status == NOT_MODIFIED
+
     /** Skips [response]. One without a length ends with the connection, so that no other response can follow. */
     private fun skip(context: ChannelHandlerContext, response: HttpResponse) {
         if (!response.isFramed) return fail(context, "response to another request, without a length")
@@ -115,13 +148,16 @@
     private fun holdsStatusLine(response: HttpResponse): Boolean =
         STATUS_LINE_START in response.status().reasonPhrase() || response.headers().any { (_, value) -> STATUS_LINE_START in value }
 
-    private fun isInformational(response: HttpResponse) = response.status().code().let { it in INFORMATIONAL && it != SWITCHING_PROTOCOLS }
+    private fun isInformational(response: HttpResponse) = response.status().code() in INFORMATIONAL
 
     private fun readContent(context: ChannelHandlerContext, message: HttpContent, receiver: TargetResponseListener) {
         if (skipsResponse) {
             skippedBytes += message.content().readableBytes()
             if (skippedBytes > MAX_SKIPPED_BYTES) return fail(context, "response to another request, too large")
-            if (message is LastHttpContent) skipsResponse = false
+            if (message is LastHttpContent) {
+                skipsResponse = false
+                headMemory?.resize(0)
+            }
             return
         }
         if (!inResponse) return
@@ -137,6 +173,7 @@
         inResponse = false
         informationalResponses = 0
         listener = null
+        headMemory?.resize(0)
         receiver.onEnd()
     }
 
@@ -158,11 +195,20 @@
         val receiver = listener
         listener = null
         inResponse = false
+        headMemory?.resize(0)
         context.close()
         receiver?.onBroken(reason)
     }
 
     private companion object {
+        const val HTTP = "HTTP"
+        const val CHUNKED = "chunked"
+        const val NO_CONTENT = 204
+        const val NOT_MODIFIED = 304
+
+        /** The status codes that HTTP defines. */
+        val STATUSES = 100..599
+
         /** What every status line begins with. */
         const val STATUS_LINE_START = "HTTP/1."
 
