Account for header lines, trailers and unread responses

BufferMemory counts the lines of heads while they are decoded, for callers, queries and targets; trailers are discarded; folded lines are joined in the buffer. Queries have timeouts. Unread responses count toward the memory of responses, and a caller that takes nothing for the idle timeout loses its connection.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -33,43 +33,55 @@
     private val context: ForwardingContext,
     private val protocol: CallerProtocol,
     private val listener: CallerListener,
-) : ChannelInboundHandlerAdapter() {
+) : ChannelInboundHandlerAdapter(),
+    MemoryHolder {
     /** A complete request that waits for the response to the request before it. */
-    private class PendingRequest(val head: HttpRequest, val body: ByteArray, val arrivedAt: MonotonicTime)
+    private class PendingRequest(val head: HttpRequest, val body: ByteArray, val arrivedAt: MonotonicTime) {
+        val heldBytes: Long get() = body.size + head.heldBytes
+    }
 
     private lateinit var ctx: ChannelHandlerContext
     private val pipelined = ArrayDeque<PendingRequest>()
     private var head: HttpRequest? = null
     private var body = ByteArrayOutputStream(0)
-    private val memory = context.requestMemory.Share()
+    private val memory = context.requestMemory.Share(this)
+
+    /** Decodes the requests of this connection. */
+    val decoder = CallerRequestDecoder(listener.limits.headerBytes, context.requestMemory.Share(this)) { lastActive = context.clock.now() }
+    private lateinit var unread: UnreadResponses
 
     /** The size of the request whose response is outstanding. */
-    private var runningBytes = 0
+    private var runningBytes = 0L
     private var exchange: ForwardedExchange? = null
     private var isBusy = false
     private var isFirstRequest = true
     private var isClosing = false
 
     /** The time at which the last bytes arrived or the last response ended. */
-    var lastActive: MonotonicTime = context.clock.now()
+    override var lastActive: MonotonicTime = context.clock.now()
         private set
 
     /** Whether a request has been received in part. */
-    val isReading: Boolean get() = head != null
+    override val isReading: Boolean get() = !isClosing && (head != null || decoder.isInHead)
 
     /** Whether no request is being received and no response is outstanding. */
-    val isIdle: Boolean get() = !isBusy && head == null && pipelined.isEmpty()
+    val isIdle: Boolean get() = !isBusy && !isReading && pipelined.isEmpty()
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
+        unread = UnreadResponses(ctx.channel(), context)
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         listener.opened(this)
+        context.requestMemory.register(this)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         listener.closed(this)
+        context.requestMemory.unregister(this)
+        unread.release()
+        decoder.release()
         exchange?.callerGone()
         exchange = null
         pipelined.clear()
@@ -86,11 +98,15 @@
 
     private fun read(message: HttpObject) {
         lastActive = context.clock.now()
-        if (message.decoderResult().isFailure) return refuseAndClose(ForwardingRefusal.MALFORMED)
+        if (message.decoderResult().isFailure) {
+            val isMemoryShort = message.decoderResult().cause() is HeadersTooLargeException
+            return refuseAndClose(if (isMemoryShort) ForwardingRefusal.NO_MEMORY else ForwardingRefusal.MALFORMED)
+        }
         if (message is HttpRequest) {
             if (isAmbiguous(message)) return refuseAndClose(ForwardingRefusal.MALFORMED)
             head = message
             body = ByteArrayOutputStream(0)
+            if (!recordMemory()) return refuseAndClose(ForwardingRefusal.NO_MEMORY)
             if (HttpUtil.is100ContinueExpected(message)) {
                 ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
             }
@@ -119,7 +135,7 @@
 
     /** Records what the requests of this connection hold; returns false if that is too much. A body that grows has twice its size. */
     private fun recordMemory(): Boolean =
-        memory.resize(2L * body.size() + pipelined.sumOf { it.body.size.toLong() } + runningBytes)
+        memory.resize(2L * body.size() + (head?.heldBytes ?: 0) + pipelined.sumOf { it.heldBytes } + runningBytes)
 
     /** Detects request smuggling: a message whose length can be interpreted in two ways may hide a second request. */
     private fun isAmbiguous(message: HttpRequest): Boolean {
@@ -130,7 +146,8 @@
     }
 
     private fun startNext() {
-        if (isBusy || isClosing) return
+        // Responses that the caller does not read would accumulate.
+        if (isBusy || isClosing || unread.bytes > MAX_UNREAD_BYTES) return
         val pending = pipelined.firstOrNull() ?: return
         val parsed = protocol.read(pending.head, pending.arrivedAt)
         val awaitsConfiguration = parsed.get()?.let { context.state.awaitsConfiguration(it.deadline, context.clock.now()) } ?: false
@@ -140,7 +157,7 @@
         }
         pipelined.removeFirst()
         isBusy = true
-        runningBytes = pending.body.size
+        runningBytes = pending.heldBytes
         val writer = ConnectionResponseWriter(pending.head)
         val request = parsed.getOrElse { refusal -> return writer.refuse(refusal, null) }
         writer.request = request.id
@@ -154,6 +171,7 @@
         isClosing = true
         head = null
         body = ByteArrayOutputStream(0)
+        decoder.release()
         recordMemory()
         // The caller would take the refusal for the response to an earlier request.
         if (isBusy || pipelined.isNotEmpty()) {
@@ -169,6 +187,15 @@
     /** Refuses a request that takes too long to arrive, and closes the connection. */
     fun refuseSlowRequest() = refuseAndClose(ForwardingRefusal.ARRIVED_TOO_SLOWLY)
 
+    override fun evict() {
+        if (isClosing) return
+        context.log.event("caller_evicted", "held" to memory.bytes + decoder.heldBytes)
+        refuseAndClose(ForwardingRefusal.NO_MEMORY)
+    }
+
+    /** Resets the connection if the caller has read nothing of what it was sent for [limit]. */
+    fun closeIfUnread(limit: Duration) = unread.closeIfStalled(limit)
+
     /** Closes the connection, whatever is still to be sent. */
     fun close() {
         ctx.close()
@@ -185,7 +212,9 @@
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        unread.record()
         exchange?.writabilityChanged()
+        if (ctx.channel().isWritable) startNext()
     }
 
     @Deprecated("Overrides a Netty method that is not otherwise replaced.")
@@ -197,7 +226,7 @@
     private fun responseEnded(closesConnection: Boolean) {
         exchange = null
         isBusy = false
-        runningBytes = 0
+        runningBytes = 0L
         recordMemory()
         lastActive = context.clock.now()
         if (closesConnection || isClosing) {
@@ -226,9 +255,11 @@
         override fun respond(head: HttpResponse, body: ByteBuf) {
             HttpUtil.setContentLength(head, body.readableBytes().toLong())
             prepare(head)
+            unread.add(body.readableBytes())
             ctx.write(head)
             if (body.isReadable) ctx.write(DefaultHttpContent(body)) else body.release()
             ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+            unread.record()
             responseEnded(closesConnection)
         }
 
@@ -239,7 +270,9 @@
         }
 
         override fun sendChunk(chunk: ByteBuf) {
+            unread.add(chunk.readableBytes())
             ctx.writeAndFlush(DefaultHttpContent(chunk))
+            unread.record()
         }
 
         override fun endChunked() {
@@ -268,6 +301,9 @@
         /** Another instance may have room immediately. */
         val RETRY_AFTER_NO_MEMORY = 50.milliseconds
 
+        /** What a caller may leave unread while further requests are started: as many of the largest responses as may be pipelined. */
+        const val MAX_UNREAD_BYTES = 8L * 1024 * 1024
+
         /** The maximum number of pipelined requests that wait on one connection. */
         const val MAX_PIPELINED = 8
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
@@ -2,21 +2,9 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
-import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
-import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
-import io.netty.handler.codec.http.HttpObjectAggregator
-import io.netty.handler.codec.http.HttpObjectDecoder
-import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpServerCodec
-import io.netty.handler.codec.http.HttpUtil
 import org.cactuspulley.core.forwarding.CallerLimits
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
@@ -41,10 +29,8 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(
-                    HttpServerCodec(limits.headerBytes, limits.headerBytes, HttpObjectDecoder.DEFAULT_MAX_CHUNK_SIZE),
-                    CallerConnectionHandler(context, protocol, this@CallerListener),
-                )
+                val handler = CallerConnectionHandler(context, protocol, this@CallerListener)
+                channel.pipeline().addLast(handler.decoder, CallerResponseEncoder(handler.decoder), handler)
             }
         })
         .bind(address.host, address.port).syncUninterruptibly().channel()
@@ -62,6 +48,7 @@
         val now = context.clock.now()
         for (connection in connections.toList()) {
             val inactiveFor = now - connection.lastActive
+            connection.closeIfUnread(limits.idleTimeout)
             when {
                 connection.isReading && inactiveFor > limits.headerTimeout -> connection.refuseSlowRequest()
                 connection.isIdle && inactiveFor > limits.idleTimeout + IDLE_MARGIN -> connection.close()
@@ -86,39 +73,3 @@
         val UNCONFIGURED_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 3.seconds, 15.seconds)
     }
 }
-
-/** Responds to queries to the instance itself, each with one complete message. */
-internal class QueryHandler(private val respond: (HttpRequest) -> FullHttpResponse) : SimpleChannelInboundHandler<FullHttpRequest>() {
-    override fun channelRead0(ctx: ChannelHandlerContext, request: FullHttpRequest) {
-        val response = respond(request)
-        HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
-        val isKeepAlive = HttpUtil.isKeepAlive(request)
-        if (!isKeepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        val written = ctx.writeAndFlush(response)
-        if (!isKeepAlive) written.addListener(ChannelFutureListener.CLOSE)
-    }
-
-    @Deprecated("Overrides a Netty method that is not otherwise replaced.")
-    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        ctx.close()
-    }
-}
-
-/** Listens on [address] for queries to the instance itself. */
-internal fun bindQueries(
-    context: ForwardingContext,
-    address: HostAndPort,
-    respond: (HttpRequest) -> FullHttpResponse,
-): Channel = ServerBootstrap()
-    .group(context.loop)
-    .channel(NioServerSocketChannel::class.java)
-    .option(ChannelOption.SO_REUSEADDR, true)
-    .childHandler(object : ChannelInitializer<Channel>() {
-        override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_QUERY_BYTES), QueryHandler(respond))
-        }
-    })
-    .bind(address.host, address.port).syncUninterruptibly().channel()
-
-/** The maximum size of a query's body. */
-private const val MAX_QUERY_BYTES = 64 * 1024
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -58,10 +58,10 @@
     }
 
     /** The memory of the responses that are held until they are complete. */
-    val responseMemory = BufferMemory(MAX_RESPONSE_BYTES, MAX_RESPONSES_BYTES)
+    val responseMemory = BufferMemory(MAX_RESPONSE_BYTES, MAX_RESPONSES_BYTES, clock::now)
 
     /** The memory of the requests of all connections, which are held until they have their responses. */
-    val requestMemory = BufferMemory(requestMemoryBytes, requestMemoryBytes)
+    val requestMemory = BufferMemory(requestMemoryBytes, requestMemoryBytes, clock::now)
 
     private var digestPending = false
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -78,12 +78,12 @@
     private val metrics = ForwardingMetrics()
     private val log = DecisionLog(metrics)
     private val state = ForwardingState(self, settings.bounds, clock.now(), routing = settings.routing)
-    private val context = ForwardingContext(
+    private val context: ForwardingContext = ForwardingContext(
         loop,
         clock,
         state,
         ports.targets,
-        TargetConnectionPool(loop, clock, TcpTargetConnector(loop, log::unexpectedBytes)),
+        TargetConnectionPool(loop, clock, TcpTargetConnector(loop, log::unexpectedBytes) { context.responseMemory.Share() }),
         log,
         LoopDelayMonitor(TICK_MILLIS.milliseconds, clock.now()),
         onCrash = { notice -> digests.sendCrash(notice) },
@@ -92,6 +92,7 @@
         requestMemoryBytes = requestMemoryBytes,
     )
     private val listener = CallerListener(context, ports.callers)
+    private val queries = QueryListener(context, ::respondToQuery)
     private val rollout = WeightRollout(
         self.id,
         state.directory,
@@ -140,7 +141,7 @@
     /** Starts the instance; returns when the sockets are bound. */
     public fun start() {
         channels += listener.bind(parseAddress(settings.listen.callers))
-        settings.listen.questions.distinct().forEach { channels += bindQueries(context, parseAddress(it), ::respondToQuery) }
+        settings.listen.questions.distinct().forEach { channels += queries.bind(parseAddress(it)) }
         registry.onRead = digests::registryWasRead
         operations.onRead = { from, changed -> if (changed.isNotEmpty()) digests.operationsWereRead(from, changed) }
         context.storeEra.onRise(::announceIfLost)
@@ -196,6 +197,7 @@
         val now = clock.now()
         recordDelay(context.loopDelay.recordTick(now))
         listener.sweep()
+        queries.sweep()
         context.connections.sweep()
         registry.advance(now)
         operations.resume()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpObjectDecoder
 import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import org.cactuspulley.runtime.platform.ExpectedResponseDecoder
@@ -18,8 +19,13 @@
  * Connects to targets over TCP.
  *
  * @param onUnexpectedBytes called with a connection that is closed because it delivered bytes that belong to no request.
+ * @param newShare creates the account of the memory for the head of a response.
  */
-internal class TcpTargetConnector(private val loop: EventLoop, private val onUnexpectedBytes: (Channel) -> Unit) : TargetConnector {
+internal class TcpTargetConnector(
+    private val loop: EventLoop,
+    private val onUnexpectedBytes: (Channel) -> Unit,
+    private val newShare: () -> BufferMemory.Share,
+) : TargetConnector {
     override fun connect(address: HostAndPort, onReady: (Channel?) -> Unit) {
         Bootstrap()
             .group(loop)
@@ -41,8 +47,11 @@
 
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            val handler = TargetResponseHandler()
-            val decoder = ExpectedResponseDecoder({ onUnexpectedBytes(channel) }) { handler.listener != null }
+            val share = newShare()
+            val handler = TargetResponseHandler(share)
+            val config = accountedDecoderConfig(HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE, share::grow)
+                .setMaxInitialLineLength(HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH)
+            val decoder = ExpectedResponseDecoder({ onUnexpectedBytes(channel) }, config = config) { handler.listener != null }
             channel.pipeline().addLast(HttpRequestEncoder(), decoder, handler)
         }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/platform/PlatformHttpClient.kt
@@ -187,7 +187,7 @@
     private class PipelineInitializer(private val maximumResponseBytes: Int) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val handler = ResponseHandler()
-            val decoder = ExpectedResponseDecoder { handler.pending != null }
+            val decoder = ExpectedResponseDecoder(config = untrailedDecoderConfig()) { handler.pending != null }
             channel.pipeline().addLast(HttpRequestEncoder(), decoder, HttpObjectAggregator(maximumResponseBytes), handler)
         }
     }
@@ -232,9 +232,16 @@
     var pending: PendingRequest? = null
     var release: () -> Unit = {}
 
+    /** The informational responses since the last final one. */
+    private var informationalResponses = 0
+
     override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
         val completed = pending ?: return
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            if (++informationalResponses > MAX_INFORMATIONAL_RESPONSES) context.close()
+            return
+        }
+        informationalResponses = 0
         pending = null
         val platformResponse = PlatformResponse(response.status().code(), ByteBufUtil.getBytes(response.content()), response.headers())
         if (HttpUtil.isKeepAlive(response)) release() else context.close()
@@ -250,4 +257,9 @@
         pending?.finish(Err(PlatformRequestFailure.Unanswered("${cause.message}")))
         context.close()
     }
+
+    private companion object {
+        /** No request asks for informational responses, of which a response usually has one at most. */
+        const val MAX_INFORMATIONAL_RESPONSES = 8
+    }
 }
