--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -80,12 +80,12 @@
     private val metrics = ForwardingMetrics()
     private val log = DecisionLog(metrics)
     private val state = ForwardingState(self, settings.bounds, clock.now(), routing = settings.routing)
-    private val context = ForwardingContext(
+    private val context: ForwardingContext = ForwardingContext(
         loop,
         clock,
         state,
         ports.targets,
-        TargetConnectionPool(loop, clock, TcpTargetConnector(loop, log::unexpectedBytes)),
+        TargetConnectionPool(loop, clock, TcpTargetConnector(loop, log::unexpectedBytes) { context.responseMemory.Share() }),
         log,
         LoopDelayMonitor(TICK_MILLIS.milliseconds, clock.now()),
         onCrash = { notice -> digests.sendCrash(notice) },
@@ -101,6 +101,7 @@
 
     /** The right to issue orders to targets and to decide on releases. */
     private val lease = OrderLease(self.id, state.fleet, rolloutSettings)
+    private val queries = QueryListener(context, ::respondToQuery)
     private val rollout = WeightRollout(
         self.id,
         state.directory,
@@ -155,7 +156,6 @@
     /** Starts the instance; returns when the sockets are bound. */
     public fun start() {
         channels += listener.bind(parseAddress(settings.listen.callers))
-        settings.listen.questions.distinct().forEach { channels += bindQueries(context, parseAddress(it), ::respondToQuery) }
         digests.onStorePosition = releaseDriver::recordPeerPosition
         registry.onRead = { from, changed ->
             digests.registryWasRead(from, changed)
@@ -165,6 +165,7 @@
             if (changed.isNotEmpty()) digests.operationsWereRead(from, changed)
             releaseDriver.advance()
         }
+        settings.listen.questions.distinct().forEach { channels += queries.bind(parseAddress(it)) }
         context.storeEra.onRise(::announceIfLost)
         ports.store.observeEras(context.storeEra::recordAnswer)
         loop.execute {
@@ -218,6 +219,7 @@
         val now = clock.now()
         recordDelay(context.loopDelay.recordTick(now))
         listener.sweep()
+        queries.sweep()
         context.connections.sweep()
         registry.advance(now)
         operations.resume()
