--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetCapacity.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetCapacity.kt
@@ -148,9 +148,11 @@
         val known = knowledge ?: return now
         if (!canHold(target, prompt)) return null
         val shortage = shortage(known, target, prompt, now, workspace) ?: return now
-        if (shortage.isOwnShare) return known.startedAt + STARTUP_TIME
-        val usualTime = known.usualTime(target.entry.pool, now) ?: return now
-        return now + usualTime * shortage.fraction
+        return if (shortage.isOwnShare) {
+            known.startedAt + STARTUP_TIME
+        } else {
+            known.usualTime(target.entry.pool, now)?.let { now + it * shortage.fraction } ?: now
+        }
     }
 
     /**
--- a/core/src/main/kotlin/org/cactuspulley/core/queueing/QueueOrder.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/queueing/QueueOrder.kt
@@ -39,11 +39,12 @@
     public data object ByLatestStart : QueueOrder
 
     /**
-     * Streams that have begun, then by priority; then requests that can be on time before those that can only be late; then by what the workspace consumes; then by the
-     * due time, which is the objective while it can be met and the latest start after that. A late request yields no longer than until
-     * [DueTimes.yieldsUntil]; it then ranks among those that can be on time, and before those of its consumption. So that late requests
-     * do not take the places of those that can be on time for long, they are refused as soon as the places that the others leave, or an
-     * eighth of all, do not suffice for them.
+     * Streams that have begun, then by priority; then requests that can be on time before those that can only be late; then by what the
+     * workspace consumes; then by the due time, which is the objective while it can be met and the latest start after that.
+     *
+     * A late request yields no longer than until [DueTimes.yieldsUntil]; it then ranks among those that can be on time, and before those
+     * of its consumption. So that late requests do not take the places of those that can be on time for long, they are refused as soon as
+     * the places that the others leave, or an eighth of all, do not suffice for them.
      *
      * @property consumption returns what a flow consumes over the whole fleet, as a multiple of its granted rate; null if it has none.
      */
@@ -87,8 +88,8 @@
         fun byLatestStart(due: DueTimes, arrival: Long) = QueueRank(due.priority, false, 0, due.latestStart, arrival)
 
         /**
-         * Returns the rank of a request whose flow consumes [consumption], a multiple of its granted rate. [isAcceptedLate] says that it was
-         * let wait on although it can only be late; the bound on its wait holds from then on.
+         * Returns the rank of a request whose flow consumes [consumption], a multiple of its granted rate. [isAcceptedLate] says that it
+         * was let wait on although it can only be late; the bound on its wait holds from then on.
          */
         fun byDueTime(due: DueTimes, consumption: Double?, isAcceptedLate: Boolean, arrival: Long, now: MonotonicTime): QueueRank {
             val step = floor((consumption ?: CONSUMPTION_WITHOUT_RATE).coerceIn(0.0, MAX_CONSUMPTION) / CONSUMPTION_STEP).toInt()
--- a/core/src/main/kotlin/org/cactuspulley/core/queueing/RankedPoolQueue.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/queueing/RankedPoolQueue.kt
@@ -118,7 +118,7 @@
     }
 
     private companion object {
-        /** The number of starts over which the share that is left to late requests is averaged; a pool of a few engines starts as many a second. */
+        /** The number of starts over which the share left to late requests is averaged; a pool of a few engines starts as many a second. */
         const val LEFT_SHARE_STARTS = 32
 
         /** Leaves seven eighths to requests that can be on time, and still shows when they need less. */
--- a/core/src/test/kotlin/org/cactuspulley/core/queueing/DueTimeQueueSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/queueing/DueTimeQueueSpec.kt
@@ -28,7 +28,13 @@
 /** The requests of this spec take 200 ms to their first event and 2 s in total. */
 private fun request(id: String, route: TestRoute, arrivedAt: MonotonicTime = start, workspace: String = "a", priority: Int = 1) =
     QueuedRequest(
-        RequestId(id), BucketId(WorkspaceId(workspace), ProfileName("p")), pool, 1, false, 1, arrivedAt + route.timeout,
+        RequestId(id),
+        BucketId(WorkspaceId(workspace), ProfileName("p")),
+        pool,
+        1,
+        false,
+        1,
+        arrivedAt + route.timeout,
         DueTimes(
             priority,
             onTimeUntil = arrivedAt + route.objective - 200.milliseconds,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -161,7 +161,14 @@
 
     /** The digest without the state of targets and workspaces, which follows with the regular digests; this keeps the datagram small. */
     private fun FleetDigest.withoutState() =
-        copy(uses = emptyList(), excluded = emptyList(), work = emptyList(), loading = emptyList(), shownWeights = emptyList(), occupancy = null)
+        copy(
+            uses = emptyList(),
+            excluded = emptyList(),
+            work = emptyList(),
+            loading = emptyList(),
+            shownWeights = emptyList(),
+            occupancy = null,
+        )
 
     /** Sends a crash notice to all peers immediately and repeats it in the next digests. */
     fun sendCrash(notice: CrashNotice) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OccupancyDigestSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OccupancyDigestSpec.kt
@@ -135,7 +135,13 @@
                 run(1)
                 target(1).occupancy.local.requests shouldBe 0
                 val full = FleetDigest(
-                    "i-1", 1, 1_000, "zone-0", "10.0.0.1:1", "10.0.0.1:2", serves = true,
+                    "i-1",
+                    1,
+                    1_000,
+                    "zone-0",
+                    "10.0.0.1:1",
+                    "10.0.0.1:2",
+                    serves = true,
                     occupancy = listOf(TargetOccupancyNotice("t-1", SLOTS, 0)),
                 )
                 instances[0].exchange.receive(PeerMessage(full))
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/WaitingRequestsSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/WaitingRequestsSpec.kt
@@ -20,7 +20,13 @@
 private val START = MonotonicTime.ZERO + 100.seconds
 
 private fun request(id: String, priority: Int, latestStart: MonotonicTime, workspace: String = "a") = QueuedRequest(
-    RequestId(id), BucketId(WorkspaceId(workspace), ProfileName("p")), PoolName("desk"), 1, false, 1, latestStart,
+    RequestId(id),
+    BucketId(WorkspaceId(workspace), ProfileName("p")),
+    PoolName("desk"),
+    1,
+    false,
+    1,
+    latestStart,
     DueTimes(priority, latestStart, latestStart, latestStart, 100.milliseconds),
 )
 
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/ForwardingSettingsSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/ForwardingSettingsSpec.kt
@@ -41,7 +41,13 @@
         // Guards against parts of routing that take effect in deployments which do not ask for them.
         it("enable parts of routing only if they say so, and bound the queue within reason") {
             parseForwardingSettings(text, "node.toml").get()?.routing shouldBe
-                RoutingSettings(capacityAdmission = false, fairQueueing = false, queueCapacity = 0, targetSpeed = false, zoneBalancing = false)
+                RoutingSettings(
+                    capacityAdmission = false,
+                    fairQueueing = false,
+                    queueCapacity = 0,
+                    targetSpeed = false,
+                    zoneBalancing = false,
+                )
             val routing = "fair_queueing = true\nqueue_capacity = 500"
             parseForwardingSettings("$text\n[routing]\n$routing", "node.toml").map { it.routing } shouldBe
                 Ok(RoutingSettings(fairQueueing = true, queueCapacity = 500))
