--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ZoneBalanceSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ZoneBalanceSpec.kt
@@ -40,13 +40,13 @@
 
     fun load(zone: String, units: Double) = directory.all.filter { it.entry.zone.text == zone }.forEach { it.load.add(units) }
 
-    fun target(now: MonotonicTime, tried: Set<TargetId> = emptySet(), subject: Long = 1): Target {
-        val criteria = SelectionCriteria(grant(), prompt(subject), tried, null, null, terms = terms(now))
+    fun target(now: MonotonicTime, tried: Set<TargetId> = emptySet(), prompt: PromptDescription? = prompt(1)): Target {
+        val criteria = SelectionCriteria(grant(), prompt, tried, null, null, terms = terms(now))
         return selector.select(criteria, now) ?: error("no target")
     }
 
     /** The targets of [count] successive requests after [from]. */
-    fun targets(count: Int, from: MonotonicTime): List<Target> = (1..count).map { target(from + INTERVAL * it, subject = it.toLong()) }
+    fun targets(count: Int, from: MonotonicTime): List<Target> = (1..count).map { target(from + INTERVAL * it, prompt = prompt(it.toLong())) }
 
     /** The zones of [count] successive requests after [from]. */
     fun zones(count: Int, from: MonotonicTime): List<String> = targets(count, from).map { it.entry.zone.text }
@@ -185,6 +185,28 @@
         }
     }
 
+    describe("a zone whose load comes from instances that send no digests") {
+        // Guards against filling a zone further because the instances of another release or behind a lost link report no load.
+        it("passes requests on while its targets report more requests than slots, and takes them back afterwards") {
+            val zones = TwoZones()
+            val report = ReportedLoad(running = 8, waiting = 8, slots = 8, at = START)
+            zones.directory.all.filter { it.entry.zone == OWN }.forEach { it.health.recordLoad(report) }
+            zones.zones(19, START).count { it == "zone-b" } shouldBeGreaterThan 3
+            zones.zones(200, START + 2.seconds).takeLast(100).toSet() shouldBe setOf("zone-a")
+        }
+    }
+
+    describe("requests to a plain service") {
+        it("wait for the slots of their zone while they are on time, and leave it if they would be late") {
+            val zones = TwoZones()
+            fun sent(from: MonotonicTime) = (1..100).map { zones.target(from + INTERVAL * it, prompt = null).entry.zone }
+            zones.load("zone-a", 30.0)
+            sent(START).toSet() shouldBe setOf(OWN)
+            zones.load("zone-a", 50.0)
+            sent(START + 3.seconds).takeLast(20).toSet() shouldBe setOf(OTHER)
+        }
+    }
+
     describe("the selection without zone balancing") {
         it("gives prompts to the targets of all zones alike, as before") {
             val sent = TwoZones(balance = null).zones(400, START)
