--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ZoneBalanceSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ZoneBalanceSpec.kt
@@ -46,7 +46,10 @@
     }
 
     /** The targets of [count] successive requests after [from]. */
-    fun targets(count: Int, from: MonotonicTime): List<Target> = (1..count).map { target(from + INTERVAL * it, prompt = prompt(it.toLong())) }
+    fun targets(
+        count: Int,
+        from: MonotonicTime,
+    ): List<Target> = (1..count).map { target(from + INTERVAL * it, prompt = prompt(it.toLong())) }
 
     /** The zones of [count] successive requests after [from]. */
     fun zones(count: Int, from: MonotonicTime): List<String> = targets(count, from).map { it.entry.zone.text }
