--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/RouterSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/RouterSettings.kt
@@ -18,7 +18,7 @@
     val limits: ConnectionLimits = ConnectionLimits(),
     val leases: LeaseSettings = LeaseSettings(),
     val configuration: ConfigurationSettings = ConfigurationSettings(),
-    val routing: RoutingSettings = RoutingSettings(),
+    val routing: RoutingPolicySettings = RoutingPolicySettings(),
     val log: LogSettings = LogSettings(),
     val stop: StopSettings = StopSettings(),
     val record: RecordSettings = RecordSettings(),
@@ -121,7 +121,7 @@
 
 /** Selects the routing policy; [policy] is the [RoutingPolicyName.text] of it. */
 @Serializable
-public data class RoutingSettings(val policy: String = RoutingPolicyName.PREFIX_AWARE.text) {
+public data class RoutingPolicySettings(val policy: String = RoutingPolicyName.PREFIX_AWARE.text) {
     /** The policy that [policy] selects. */
     public val policyName: RoutingPolicyName get() = RoutingPolicyName.entries.first { it.text == policy }
 }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/SampleSettingsSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/SampleSettingsSpec.kt
@@ -22,7 +22,7 @@
                 settings.limits shouldBe ConnectionLimits()
                 settings.leases shouldBe LeaseSettings()
                 settings.configuration shouldBe ConfigurationSettings()
-                settings.routing shouldBe RoutingSettings()
+                settings.routing shouldBe RoutingPolicySettings()
                 settings.stop shouldBe StopSettings()
             }
         }
--- a/standins/src/main/kotlin/org/cactuspulley/standins/deployment/DeploymentFixture.kt
+++ b/standins/src/main/kotlin/org/cactuspulley/standins/deployment/DeploymentFixture.kt
@@ -4,7 +4,7 @@
 import org.cactuspulley.runtime.instance.Router
 import org.cactuspulley.runtime.settings.RouterSettings
 import org.cactuspulley.runtime.settings.RoutingPolicyName
-import org.cactuspulley.runtime.settings.RoutingSettings
+import org.cactuspulley.runtime.settings.RoutingPolicySettings
 import org.cactuspulley.standins.engine.EngineSettings
 import java.io.IOException
 import java.net.URI
@@ -81,7 +81,7 @@
     public val addresses: List<String> get() = instances.filter { it.router != null }.map { it.address }
 
     private fun settingsOf(index: Int, policy: RoutingPolicyName) =
-        RouterFleet(standins).settingsOf(index).copy(routing = RoutingSettings(policy.text))
+        RouterFleet(standins).settingsOf(index).copy(routing = RoutingPolicySettings(policy.text))
 
     /**
      * Writes the configuration and starts all instances. Returns true once all instances are ready and
