Release software versions: the driver, its messages and the platform's records

An operator's order moves the traffic of a service to a new software version. The holder of the order lease decides; instances exchange what they observe in digests, and read the state from the store while the holder is silent.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -8,6 +8,7 @@
 import org.cactuspulley.core.forwarding.ForwardingRefusal
 import org.cactuspulley.core.forwarding.SendFailure
 import org.cactuspulley.core.forwarding.WorkspaceDescription
+import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.model.TargetId
 import kotlin.time.Duration
@@ -130,6 +131,18 @@
         write("caller_gone", "request" to request.id.text, "sends" to sentAttempts, "millis" to waited.inWholeMilliseconds)
     }
 
+    /** Counts a response or a failure of a target with [version] of [service], which is being released. */
+    fun releaseAnswer(service: PoolName, version: String) = metrics.releaseAnswer(service.text, version)
+
+    /** Counts a failure of a target with [version] of [service], which is being released. */
+    fun releaseFailure(service: PoolName, version: String) = metrics.releaseFailure(service.text, version)
+
+    /** Sets the [stage] of the release of [service] in the metrics; null if it has not been started. */
+    fun releaseStage(service: PoolName, stage: EncodedStage?) = metrics.releaseStage(service.text, stage?.number ?: 0)
+
+    /** Sets the [share] of the requests to [service] that this instance has sent to the released version, in the metrics. */
+    fun releaseShare(service: PoolName, share: Double) = metrics.releaseShare(service.text, share)
+
     /** Records a change of the instance's state, such as a new configuration or an unresponsive target. */
     fun event(name: String, vararg details: Pair<String, Any?>) {
         metrics.event(name)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -51,6 +51,8 @@
         var relayedAt: MonotonicTime?,
     )
 
+    /** Called with how far a peer that reaches the store knows the operators' topic, and when it said so. */
+    var onStorePosition: (era: Long, operationsNext: Long?, at: MonotonicTime) -> Unit = { _, _, _ -> }
     private val state = context.state
     private val positions = HashMap<InstanceId, PeerPosition>()
 
@@ -159,8 +161,14 @@
     }
 
     /** The digest without the state of targets and workspaces, which follows with the regular digests; this keeps the datagram small. */
-    private fun FleetDigest.withoutState() =
-        copy(uses = emptyList(), excluded = emptyList(), work = emptyList(), loading = emptyList(), shownWeights = emptyList())
+    private fun FleetDigest.withoutState() = copy(
+        uses = emptyList(),
+        excluded = emptyList(),
+        work = emptyList(),
+        loading = emptyList(),
+        shownWeights = emptyList(),
+        releaseEvidence = emptyList(),
+    )
 
     /** Sends a crash notice to all peers immediately and repeats it in the next digests. */
     fun sendCrash(notice: CrashNotice) {
@@ -231,6 +239,8 @@
             pieceQuarantines = context.pieceQuarantine.quarantineNotices(now),
             leaving = context.leavingTargets.notices(now),
             limits = context.rateLimits.notices(now),
+            releases = context.releases.notices(now),
+            releaseEvidence = context.releases.evidenceNotices(),
         )
     }
 
@@ -317,6 +327,8 @@
         context.pieceQuarantine.receive(peer, digest, at)
         context.leavingTargets.receive(peer.text, digest.leaving)
         context.rateLimits.receive(peer.text, digest.limits, at)
+        context.releases.receive(peer, digest, at)
+        if (digest.reachesStore) onStorePosition(digest.storeEra, digest.operationsNext, at)
         digest.excluded.forEach { state.directory[TargetId(it.target)]?.health?.recordPeerExclusion(it.millis.milliseconds, at) }
         digest.work.forEach { state.directory[TargetId(it.target)]?.load?.recordPeerLoad(peer, it.units, until) }
         digest.loading.forEach { state.directory[TargetId(it)]?.loadingUntil = until }
@@ -335,7 +347,7 @@
         when (range.topic) {
             StoreTopic.OPERATIONS -> operations.applyRelayed(range, now)
             StoreTopic.REGISTRY -> registry.applyRelayed(peer, range, now)
-            StoreTopic.INSTANCES, StoreTopic.CLAIMS -> context.log.event("relay_ignored", "topic" to range.topic.name)
+            else -> context.log.event("relay_ignored", "topic" to range.topic.name)
         }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -48,6 +48,8 @@
  * @property leaving the targets that told the instance recently that they are leaving.
  * @property limits the rate limits that targets named to the instance, or lifted.
  * @property relayedRanges the records that the instance relays to the receiver.
+ * @property releases the states of the releases that the instance knows.
+ * @property releaseEvidence what the instance has observed of the versions of the services that are being released.
  */
 @Serializable
 internal data class FleetDigest(
@@ -79,6 +81,8 @@
     val leaving: List<LeavingTarget> = emptyList(),
     val limits: List<TargetLimitNotice> = emptyList(),
     @SerialName("relays") val relayedRanges: List<RelayedRange> = emptyList(),
+    val releases: List<ReleaseNotice> = emptyList(),
+    val releaseEvidence: List<EvidenceNotice> = emptyList(),
 )
 
 /** Encodes and decodes peer messages; ignores unknown fields, because newer versions of the router may send more. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -52,6 +52,9 @@
     /** What targets say in their responses about their rate limits. */
     val rateLimits = RateLimitExchange(this)
 
+    /** What the attempts of all instances show about the versions of services that are being released. */
+    val releases = ReleaseExchange(this)
+
     /** The requests that wait for a target. */
     val waiting = WaitingRequests({ delay, action -> schedule(delay, action) }, { loop.execute(it) }) {
         state.rateLimits.clearReservations()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -15,12 +15,14 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.cactuspulley.core.forwarding.FleetMember
+import org.cactuspulley.core.forwarding.OrderLease
 import org.cactuspulley.core.forwarding.RolloutSettings
 import org.cactuspulley.core.forwarding.WeightRollout
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.InstanceIncarnation
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.ZoneName
+import org.cactuspulley.core.rollout.ReleaseController
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.metrics.RouterMetrics
 import org.cactuspulley.runtime.platform.HostAndPort
@@ -92,16 +94,21 @@
         requestMemoryBytes = requestMemoryBytes,
     )
     private val listener = CallerListener(context, ports.callers)
+    private val rolloutSettings = RolloutSettings(
+        lease = settings.bounds.leaseMillis.milliseconds,
+        startLimit = settings.bounds.startLimitMillis.milliseconds,
+    )
+
+    /** The right to issue orders to targets and to decide on releases. */
+    private val lease = OrderLease(self.id, state.fleet, rolloutSettings)
     private val rollout = WeightRollout(
         self.id,
         state.directory,
         state.desiredWeights,
         state.fleet,
         state.serviceTimes,
-        RolloutSettings(
-            lease = settings.bounds.leaseMillis.milliseconds,
-            startLimit = settings.bounds.startLimitMillis.milliseconds,
-        ),
+        rolloutSettings,
+        lease,
     )
     private val rolloutDriver: RolloutDriver =
         RolloutDriver(context, ClaimRecord(self.id.text, incarnation, address = self.peerAddress), rollout, ports.store, ports.control)
@@ -112,6 +119,14 @@
         OperationsListener(),
         longReadWait = { LongReadWaits.operations(state.fleet.isFirstStoreReader(clock.now())) },
     ) { digests.shouldReadOperations(clock.now()) }
+    private val releaseDriver = ReleaseDriver(
+        context,
+        ReleaseController(state.releases, state.serviceTimes, state.releaseSettings),
+        lease,
+        rolloutDriver,
+        ports.store,
+        operations,
+    )
     private val registry: TargetRegistry = TargetRegistry(context, ports.store, ports.records) { rolloutDriver.advance() }
     private val instances = StoreFollower(
         context,
@@ -141,8 +156,15 @@
     public fun start() {
         channels += listener.bind(parseAddress(settings.listen.callers))
         settings.listen.questions.distinct().forEach { channels += bindQueries(context, parseAddress(it), ::respondToQuery) }
-        registry.onRead = digests::registryWasRead
-        operations.onRead = { from, changed -> if (changed.isNotEmpty()) digests.operationsWereRead(from, changed) }
+        digests.onStorePosition = releaseDriver::recordPeerPosition
+        registry.onRead = { from, changed ->
+            digests.registryWasRead(from, changed)
+            releaseDriver.advance()
+        }
+        operations.onRead = { from, changed ->
+            if (changed.isNotEmpty()) digests.operationsWereRead(from, changed)
+            releaseDriver.advance()
+        }
         context.storeEra.onRise(::announceIfLost)
         ports.store.observeEras(context.storeEra::recordAnswer)
         loop.execute {
@@ -200,6 +222,7 @@
         registry.advance(now)
         operations.resume()
         instances.resume()
+        releaseDriver.advance()
         updateReadiness()
         if (context.loopDelay.isDelayed(now)) {
             context.afterNextRead { runSafely { withdrawOutdatedAttempts() } }
@@ -310,6 +333,11 @@
 
                 is OperatorChange.Weights -> recordWeights(change, now)
 
+                is OperatorChange.Release -> {
+                    releaseDriver.recordOrder(change, operations.replica.era, offset)
+                    true
+                }
+
                 OperatorChange.Other -> false
             }
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -22,6 +22,15 @@
     private val rateLimited = counter("cactuspulley_rate_limited_total", "Requests affected by the rate limits of targets", "outcome")
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
 
+    private val releaseStage = Gauge.builder().name("cactuspulley_release_stage").labelNames("service")
+        .help("The stage of a service's release: 0 not started, 1 canary, 2 shifting, 3 completed, 4 rolled back").register(registry)
+    private val releaseShare = Gauge.builder().name("cactuspulley_release_share").labelNames("service")
+        .help("The share of the instance's requests that went to the released version since the order").register(registry)
+    private val releaseAnswers =
+        counter("cactuspulley_release_answers_total", "Attempts that ended while their service was released, failures included", "service", "version")
+    private val releaseFailures =
+        counter("cactuspulley_release_failures_total", "Attempts that failed while their service was released", "service", "version")
+
     private val configurationVersion = Gauge.builder().name("cactuspulley_configuration_version")
         .help("The version of the configuration in force; 0 before the first").register(registry)
 
@@ -46,6 +55,18 @@
 
     fun configured(version: Long) = configurationVersion.set(version.toDouble())
 
+    /** Sets the [number] of the stage of the release of [service]. */
+    fun releaseStage(service: String, number: Int) = releaseStage.labelValues(service).set(number.toDouble())
+
+    /** Sets the share of the requests to [service] that this instance has sent to the released version. */
+    fun releaseShare(service: String, share: Double) = releaseShare.labelValues(service).set(share)
+
+    /** Counts an attempt that ended at a target with [version] of [service]; failures count too. */
+    fun releaseAnswer(service: String, version: String) = releaseAnswers.labelValues(service, version).inc()
+
+    /** Counts an attempt that failed at a target with [version] of [service]. */
+    fun releaseFailure(service: String, version: String) = releaseFailures.labelValues(service, version).inc()
+
     fun event(name: String) = events.labelValues(name).inc()
 
     /** Returns all metrics in the Prometheus text format. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -20,6 +20,9 @@
 import org.cactuspulley.core.model.WorkspaceId
 import org.cactuspulley.core.quarantine.CrashTracker
 import org.cactuspulley.core.requests.RetryBudget
+import org.cactuspulley.core.rollout.ReleaseDirectory
+import org.cactuspulley.core.rollout.ReleaseSettings
+import org.cactuspulley.core.rollout.VersionSelector
 import org.cactuspulley.runtime.settings.FleetBounds
 import org.cactuspulley.runtime.settings.RoutingSettings
 import kotlin.random.Random
@@ -47,8 +50,17 @@
     /** The rate limits of the targets. */
     val rateLimits = TargetRateLimits(fleet)
 
+    /** The releases of services' software versions. */
+    val releases = ReleaseDirectory()
+
+    /** The bounds of releases. */
+    val releaseSettings = ReleaseSettings(bounds.exposureRatio, bounds.exposureSlack, bounds.rollbackMillis.milliseconds)
+
+    /** Decides which software versions a request may use. */
+    val versions = VersionSelector(releases, directory, releaseSettings, random)
+
     /** Selects a target for each attempt. */
-    val selector = TargetSelector(directory, self.zone, rateLimits, random)
+    val selector = TargetSelector(directory, self.zone, rateLimits, random, versions)
 
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RecordStore.kt
@@ -3,6 +3,7 @@
  */
 package org.cactuspulley.runtime.forwarding
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import org.cactuspulley.core.forwarding.ForwardingConfiguration
 import org.cactuspulley.core.forwarding.OrderAnswer
@@ -11,6 +12,7 @@
 import org.cactuspulley.core.forwarding.TargetReport
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.core.model.ModelName
+import org.cactuspulley.core.model.PoolName
 import kotlin.time.Duration
 
 /** The keyed topics of the platform's log that instances use. */
@@ -26,6 +28,12 @@
 
     /** The claims of the right to issue orders to targets. */
     CLAIMS,
+
+    /** The states of the releases of services' software versions. */
+    RELEASES,
+
+    /** The status of releases that is published to operators; only the instances write to it. */
+    STATUS,
 }
 
 /** A record at [offset] of a topic; a null [value] marks a deleted key. */
@@ -79,10 +87,25 @@
         done: (Result<AppendedRecord, StoreFailure>) -> Unit,
     )
 
+    /** Publishes [status] to operators under the key of its service in [StoreTopic.STATUS]. */
+    public fun appendStatus(status: ReleaseStatus, done: (Result<AppendedRecord, StoreFailure>) -> Unit): Unit =
+        done(Err(StoreFailure.Refused(STATUS_NOT_IMPLEMENTED)))
+
     /** Calls [observer] with the era of each answer that carries none to its caller, such as a refusal, before the caller gets it. */
     public fun observeEras(observer: (topic: StoreTopic, era: Long) -> Unit): Unit = Unit
+
+    private companion object {
+        /** The HTTP status 501, for a store that publishes nothing to operators. */
+        const val STATUS_NOT_IMPLEMENTED = 501
+    }
 }
 
+/** What operators are told about the progress of a release. */
+public enum class ReleaseProgress { RUNNING, COMPLETED, ROLLED_BACK }
+
+/** The [progress] of the release of the software version [target] of [service]. */
+public data class ReleaseStatus(val service: PoolName, val target: String, val progress: ReleaseProgress)
+
 /** The change that an operator's record makes. */
 public sealed interface OperatorChange {
     /** Replaces the complete configuration. */
@@ -91,6 +114,9 @@
     /** Sets the desired [version] of the weights of [model]. */
     public data class Weights(val model: ModelName, val version: Long) : OperatorChange
 
+    /** Orders the release of the software version [target] of [service], which must end within [duration]. */
+    public data class Release(val service: PoolName, val target: String, val duration: Duration) : OperatorChange
+
     /** Does not concern the instance. */
     public data object Other : OperatorChange
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriver.kt
@@ -59,6 +59,9 @@
         timer = next?.let { context.schedule((it - context.clock.now()).coerceAtLeast(Duration.ZERO)) { timerRan() } }
     }
 
+    /** Returns whether this instance holds the lease at [now], by the monotonic clock and by the wall clock. */
+    fun holdsLease(now: MonotonicTime): Boolean = rollout.mayOrder(now) && wallClockMillis() in claimMillis
+
     private fun timerRan() {
         timerAt = null
         advance()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -109,6 +109,9 @@
 
     private val silence = SilenceWatch(context, target, request.id, this)
 
+    /** What the attempt tells about the release of the service. */
+    private var release: ReleaseObservation = ReleaseObservation.None
+
     /** When the target last sent data of this attempt; [sentAt] before that. */
     private val lastActivityAt: MonotonicTime get() = silence.lastActivityAt
 
@@ -177,6 +180,11 @@
             close()
             return observer.failed(this, SendFailure.NOT_SENT, "the target no longer accepts requests")
         }
+        if (!state.versions.allows(target, grant, context.clock.now())) {
+            releaseUnused(connection)
+            close()
+            return observer.failed(this, SendFailure.NOT_SENT, WRONG_VERSION)
+        }
         admission = state.rateLimits.renew(target, admission, context.clock.now())
         if (admission == RateLimitAdmission.Denied) {
             releaseUnused(connection)
@@ -204,6 +212,7 @@
             !connection.isActive -> failUnsent(connection, SendFailure.UNREACHABLE, "the connection ended before the request was sent")
             now >= progress.deadline -> failUnsent(connection, SendFailure.NOT_SENT, "the deadline passed before the request was sent")
             !state.directory.accepts(target, now) -> failUnsent(connection, SendFailure.NOT_SENT, "the target no longer accepts requests")
+            !state.versions.allows(target, grant, now) -> failUnsent(connection, SendFailure.NOT_SENT, WRONG_VERSION)
             else -> send(connection, address)
         }
     }
@@ -227,6 +236,7 @@
         handler.assign(this)
         requestsOnConnection = handler.requestCount
         progress.recordSent()
+        release = context.releases.sent(target, grant)
         connection.flush()
         silence.start(address)
     }
@@ -275,6 +285,7 @@
     override fun canBeSentElsewhere(): Boolean = observer.canBeSentElsewhere(this)
 
     override fun failSilent(reason: String) {
+        release.failed()
         cancel(null)
         observer.failed(this, SendFailure.SILENT, reason)
     }
@@ -290,6 +301,7 @@
         this.response = response
         silence.recordActivity()
         if (!grant.route.isStream && head.status in SUCCESS) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
+        if (isReleaseResponse(head)) release.started(lastActivityAt - sentAt)
         head.load?.let { target.health.recordLoad(ReportedLoad(it.running, it.waiting, it.slots, lastActivityAt)) }
         if (!head.isOtherTarget) recordAvailability(head)
         if (model != null && head.weights != null && !head.notRun) target.recordWeights(model, head.weights)
@@ -297,6 +309,10 @@
         return ResponseOwner.THIS_REQUEST
     }
 
+    /** Whether the response begins with its head and is neither a failure nor a refusal to run the request. */
+    private fun isReleaseResponse(head: TargetResponseHead): Boolean =
+        head.status < SERVER_ERROR && !head.meansNotRun && !head.notRun && !(grant.route.isStream && head.status in STREAM_SUCCESS)
+
     private fun recordAvailability(head: TargetResponseHead) {
         if (head.isLeaving) context.leavingTargets.observed(target)
         // A refusal may be the late copy of an earlier one, from before the target named its limit.
@@ -332,6 +348,7 @@
         if (completeEvents == null) return
         if (!hasEvents) request.prompt?.let { context.pieceQuarantine.answerBegan(it, lastActivityAt) }
         if (!hasEvents) serviceTimes.recordStart(lastActivityAt - sentAt, lastActivityAt)
+        if (!hasEvents) release.started(lastActivityAt - sentAt)
         lastEventsAt?.let { longestPause = maxOf(longestPause, lastActivityAt - it) }
         lastEventsAt = lastActivityAt
         hasEvents = true
@@ -350,6 +367,7 @@
 
     /** Gives up a response that is held in memory until it, or an event of it, is complete, and that may have no end. */
     private fun exceedLimit(part: String) {
+        release.failed()
         cancel(null)
         observer.failed(this, SendFailure.BROKEN, "the $part is too large")
     }
@@ -386,11 +404,13 @@
 
     private fun completeStream(stream: EventStreamSplitter, httpResponse: HttpResponse, head: TargetResponseHead) {
         if (stream.hasPartialEvent) {
+            release.failed()
             stream.release()
             return observer.failed(this, SendFailure.BROKEN, "the stream ended within an event")
         }
         // Before the first event, the end of the connection is a sign of a crash rather than of a stream without events.
         if (!stream.hasEvents && observer.lastEventId == null && !httpResponse.isFramed) {
+            release.failed()
             reportSuspectedCrash()
             return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
         }
@@ -408,6 +428,7 @@
             head.status in SUCCESS && !head.isSigned -> SendFailure.BROKEN
             else -> null
         }
+        if (failure == SendFailure.BROKEN || (head.status >= SERVER_ERROR && !head.notRun)) release.failed()
         if (failure == SendFailure.FAILED && !observer.hasStreamBegun && !isUnpromisedRefusal(head)) {
             return observer.targetFailed(this, httpResponse, head.status, body)
         }
@@ -432,6 +453,7 @@
     private fun recordCompletion() {
         val now = context.clock.now()
         target.health.recordSuccess(now)
+        release.started(now - sentAt)
         if (!isResumption) serviceTimes.recordTotal(now - sentAt, now)
     }
 
@@ -451,6 +473,7 @@
     }
 
     override fun onBroken(reason: String) {
+        release.failed()
         close()
         reportSuspectedCrash()
         if (responseHead == null || observer.hasStreamBegun) observer.targetCrashed(this)
@@ -477,6 +500,8 @@
      */
     fun cancel(failure: SendFailure?) {
         if (isClosed) return
+        // The caller may not have waited long enough for a response that is far too late.
+        if (failure != null || (!release.hasStarted && silence.isUnusuallyLong)) release.failed()
         val connection = channel
         connection?.pipeline()?.get(TargetResponseHandler::class.java)?.listener = null
         connection?.config()?.setOption(ChannelOption.SO_LINGER, 0)
@@ -503,5 +528,6 @@
         /** The status codes that begin or continue a stream: all successes but 204 and 205, which have no content. */
         val STREAM_SUCCESS = SUCCESS.toSet() - setOf(204, 205)
         const val SERVER_ERROR = 500
+        const val WRONG_VERSION = "the software version of the target may not be used now"
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetRegistry.kt
@@ -109,7 +109,10 @@
         }
 
         private fun updateDirectory(key: String, value: ByteArray): DirectoryChange = records.target(key, value).fold(
-            success = { entry -> state.directory.upsert(entry) },
+            success = { entry ->
+                if (!entry.isLeaving) state.releases.recordEntry(entry.pool, entry.softwareVersion, context.clock.now())
+                state.directory.upsert(entry)
+            },
             failure = { failure ->
                 context.log.event("target_record_unreadable", "key" to failure.key, "reason" to failure.reason)
                 DirectoryChange.STALE
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -55,6 +55,9 @@
  * @property rateSlackTokens the number of tokens by which a rate limit may be exceeded in addition to [rateOvershoot].
  * @property leaseMillis how long the claim to issue orders remains valid after its holder fails, in milliseconds.
  * @property startLimitMillis how long after newer weights were named a request may still begin on older ones, in milliseconds.
+ * @property exposureRatio the ratio of a service's requests that a faulty software version may get while it is released.
+ * @property exposureSlack the number of requests that such a version may get in addition to [exposureRatio].
+ * @property rollbackMillis how long after its faults have shown a request may still be sent to such a version, in milliseconds.
  */
 @Serializable
 public data class FleetBounds(
@@ -66,6 +69,9 @@
     @SerialName("rate_slack_tokens") @Serializable(LenientDoubleSerializer::class) val rateSlackTokens: Double = 0.0,
     @SerialName("lease_millis") val leaseMillis: Long = 3_000,
     @SerialName("start_limit_millis") @Serializable(LenientDoubleSerializer::class) val startLimitMillis: Double = 8_000.0,
+    @SerialName("exposure_ratio") @Serializable(LenientDoubleSerializer::class) val exposureRatio: Double = 0.1,
+    @SerialName("exposure_slack") @Serializable(LenientDoubleSerializer::class) val exposureSlack: Double = 50.0,
+    @SerialName("rollback_millis") @Serializable(LenientDoubleSerializer::class) val rollbackMillis: Double = 5_000.0,
 )
 
 /**
@@ -106,6 +112,9 @@
         Triple("bounds.rate_slack_tokens", bounds.rateSlackTokens, 0.0..1e12),
         Triple("bounds.lease_millis", bounds.leaseMillis.toDouble(), 1.0..600_000.0),
         Triple("bounds.start_limit_millis", bounds.startLimitMillis, 1.0..600_000.0),
+        Triple("bounds.exposure_ratio", bounds.exposureRatio, 0.0..1.0),
+        Triple("bounds.exposure_slack", bounds.exposureSlack, 0.0..1e6),
+        Triple("bounds.rollback_millis", bounds.rollbackMillis, 1.0..600_000.0),
         Triple("link.megabits_per_second", settings.link.megabitsPerSecond, 0.0..1e6),
     )
     ranges.firstOrNull { (_, value, allowed) -> value !in allowed }?.let { (key, value, allowed) ->
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/ForwardingSettingsSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/settings/ForwardingSettingsSpec.kt
@@ -61,6 +61,8 @@
                 "store.address"
             errorFor("$text\n[bounds]\nretry_ratio = 1.5").shouldBeInstanceOf<SettingsError.ValueNotAllowed>().key shouldBe
                 "bounds.retry_ratio"
+            errorFor("$text\n[bounds]\nexposure_ratio = 1.5").shouldBeInstanceOf<SettingsError.ValueNotAllowed>().key shouldBe
+                "bounds.exposure_ratio"
             errorFor("$text\n[log]\nformat = \"xml\"").shouldBeInstanceOf<SettingsError.ValueNotAllowed>().key shouldBe "log.format"
         }
     }
