--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -27,7 +27,12 @@
     private val releaseShare = Gauge.builder().name("cactuspulley_release_share").labelNames("service")
         .help("The share of the instance's requests that went to the released version since the order").register(registry)
     private val releaseAnswers =
-        counter("cactuspulley_release_answers_total", "Attempts that ended while their service was released, failures included", "service", "version")
+        counter(
+            "cactuspulley_release_answers_total",
+            "Attempts that ended while their service was released, failures included",
+            "service",
+            "version",
+        )
     private val releaseFailures =
         counter("cactuspulley_release_failures_total", "Attempts that failed while their service was released", "service", "version")
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ReleaseDriver.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ReleaseDriver.kt
@@ -50,6 +50,9 @@
     private val pendingStates = ArrayDeque<ReleaseAction.WriteState>()
     private var isWriting = false
 
+    /** How often the topic has been read since this instance holds the lease. */
+    private var readsSinceClaim = 0
+
     /** When the topic may be read again because the holder is silent. */
     private var nextReadAt = MonotonicTime.ZERO
 
@@ -67,6 +70,10 @@
     init {
         context.storeEra.onRise(::storeRestored)
         context.releases.onStateChange = ::advance
+        topic.onRead = { _, _ ->
+            readsSinceClaim++
+            context.schedule(Duration.ZERO, ::advance)
+        }
     }
 
     /** Records an operator's order, which was read at [offset] of the era [era]. */
@@ -103,10 +110,13 @@
     }
 
     private fun advanceReleases(now: MonotonicTime) {
-        readTopic(now)
         requireLease()
-        val isLeaseHeld = !topic.isOutdated && topic.replica.wasRead && rollout.holdsLease(now)
-        // Until the topic has been read, nothing is decided: an earlier holder may have decided already.
+        val holdsLease = rollout.holdsLease(now)
+        if (!holdsLease) readsSinceClaim = 0
+        // Nothing is decided before the topic has been read again: the holder before may have decided already.
+        val mustRead = holdsLease && readsSinceClaim < READS_AFTER_CLAIM
+        if (mustRead) topic.read() else readTopic(now)
+        val isLeaseHeld = holdsLease && !mustRead && !topic.isOutdated
         controller.step(now, context.releases.allEvidence(), isLeaseHeld).forEach { execute(it, now) }
         logChanges()
     }
@@ -335,6 +345,9 @@
         /** The time without a confirmation by the holder after which the topic is read: two of its digests are missing. */
         val SILENCE_LIMIT: Duration = 1.seconds
 
+        /** The first read that ends after a claim may have begun before it, so that the second one counts. */
+        const val READS_AFTER_CLAIM = 2
+
         /** The interval of these reads; two of them fit into the time for which a state permits requests to the new version. */
         val READ_INTERVAL: Duration = 500.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ReleaseMessages.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ReleaseMessages.kt
@@ -137,7 +137,7 @@
                 EncodedRouteEvidence(
                     key.route.text,
                     key.version,
-                    counts.targets.map { (id, count) -> EncodedTargetEvidence(id.text, count.responses, count.failures) },
+                    counts.targets.map { (id, count) -> EncodedTargetEvidence(id.text, count.responses, count.failures, count.slow) },
                     counts.starts.buckets,
                 )
             },
@@ -156,7 +156,8 @@
     val starts: Map<Int, Long>,
 ) {
     fun decode(): RouteEvidence = RouteEvidence(
-        targets.filter { it.failures in 0..it.responses }.associate { TargetId(it.target) to TargetEvidence(it.responses, it.failures) },
+        targets.filter { it.failures in 0..it.responses && it.slow in 0..it.responses }
+            .associate { TargetId(it.target) to TargetEvidence(it.responses, it.failures, it.slow) },
         LatencyHistogram(starts.filter { (bucket, count) -> bucket in BUCKETS && count > 0 }),
     )
 
@@ -166,8 +167,8 @@
     }
 }
 
-/** The [responses] of [target], of which [failures] were failures. */
+/** The [responses] of [target], of which [failures] were failures and [slow] ones took several times as long as usual to start. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @CborArray
-internal data class EncodedTargetEvidence(val target: String, val responses: Long, val failures: Long)
+internal data class EncodedTargetEvidence(val target: String, val responses: Long, val failures: Long, val slow: Long)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ReleaseSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ReleaseSimulation.kt
@@ -89,7 +89,7 @@
         /** Whether the calls of the instance to the store are refused. */
         var isCutFromStore = false
 
-        /** Whether the digests of the instance lack what instances of the previous release do not send. */
+        /** Whether the instance knows nothing of releases, as one of the previous release. It gets no requests here. */
         var isOfPreviousRelease = false
         var isUp = true
             private set
@@ -184,7 +184,7 @@
 
         fun tick() {
             if (!isUp) return
-            if (ticks % TICKS_PER_ADVANCE == 0) {
+            if (ticks % TICKS_PER_ADVANCE == 0 && !isOfPreviousRelease) {
                 parts.operations.read()
                 parts.driver.advance()
             }
@@ -192,7 +192,7 @@
         }
 
         fun sendRequest() {
-            if (!isUp) return
+            if (!isUp || isOfPreviousRelease) return
             val criteria = SelectionCriteria(grant, null, emptySet(), null, null)
             val target = state.selector.select(criteria, now) ?: return
             val version = target.entry.softwareVersion
@@ -203,7 +203,12 @@
 
         /** The instance's access to the log; [owner] no longer receives answers after a restart. */
         private inner class LogAccess(private val owner: Parts) : RecordStore {
-            override fun read(topic: StoreTopic, from: Long, wait: Duration, done: (Result<RecordBatch, StoreFailure>) -> Unit) = call(done) {
+            override fun read(
+                topic: StoreTopic,
+                from: Long,
+                wait: Duration,
+                done: (Result<RecordBatch, StoreFailure>) -> Unit,
+            ) = call(done) {
                 val records = log.getValue(topic)
                 if (from > records.size) {
                     Err(StoreFailure.Compacted)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
@@ -30,6 +30,9 @@
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.core.requests.RetryBudget
+import org.cactuspulley.core.rollout.ReleaseOrderId
+import org.cactuspulley.core.rollout.ReleaseStage
+import org.cactuspulley.core.rollout.ReleaseState
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.platform.HostAndPort
 import org.cactuspulley.runtime.settings.FleetBounds
@@ -148,6 +151,11 @@
             "is leaving" to { it.state.directory.upsert(it.entry(isLeaving = true, report = 2)) },
             "was removed" to { it.state.directory.remove(TargetId("t-1"), NOW) },
             "started again under its id" to { it.state.directory.upsert(it.entry(startedAt = 2)) },
+            "has a software version that was rolled back" to {
+                it.state.directory.upsert(it.entry(report = 2).copy(softwareVersion = "v2"))
+                val state = ReleaseState(POOL, ReleaseOrderId(0, 1), "v2", ReleaseStage.RolledBack)
+                it.state.releases.recordState(state, NOW)
+            },
             "asked for a pause" to { it.state.directory.pause(it.target(), NOW + 1.seconds) },
         )
         for ((name, change) in changes) {
