--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OccupancyDigestSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OccupancyDigestSpec.kt
@@ -35,7 +35,7 @@
 /** A digest as instances of the previous release read it: it has no occupancy. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-private class PreviousDigest(
+private class DigestWithoutOccupancy(
     val id: String,
     val incarnation: Long,
     val sequence: Long,
@@ -107,9 +107,9 @@
                 work = listOf(TargetWork("t-1", 0.5)), occupancy = listOf(TargetOccupancyNotice("t-1", 3, 9_000)),
             )
             val bytes = peerCodec.encodeToByteArray(FleetDigest.serializer(), digest)
-            val previous = peerCodec.decodeUntrusted(PreviousDigest.serializer(), bytes)
+            val previous = peerCodec.decodeUntrusted(DigestWithoutOccupancy.serializer(), bytes)
             previous.work shouldBe digest.work
-            val returned = peerCodec.encodeToByteArray(PreviousDigest.serializer(), previous)
+            val returned = peerCodec.encodeToByteArray(DigestWithoutOccupancy.serializer(), previous)
             peerCodec.decodeUntrusted(FleetDigest.serializer(), returned) shouldBe digest.copy(occupancy = null)
             peerCodec.decodeUntrusted(FleetDigest.serializer(), bytes) shouldBe digest
         }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/PeerCodecSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/PeerCodecSpec.kt
@@ -16,7 +16,7 @@
 
 /** The fields without defaults of a digest, and one more, as an instance of an earlier release knows them. */
 @Serializable
-private data class PreviousDigest(
+private data class DigestWithoutSpeeds(
     val id: String,
     val incarnation: Long,
     val sequence: Long,
@@ -72,9 +72,9 @@
             )
             val bytes = peerCodec.encodeToByteArray(FleetDigest.serializer(), digest)
             peerCodec.decodeUntrusted(FleetDigest.serializer(), bytes).speeds shouldBe digest.speeds
-            val previous = peerCodec.decodeUntrusted(PreviousDigest.serializer(), bytes)
+            val previous = peerCodec.decodeUntrusted(DigestWithoutSpeeds.serializer(), bytes)
             previous.id shouldBe "i-1"
-            val previousBytes = peerCodec.encodeToByteArray(PreviousDigest.serializer(), previous)
+            val previousBytes = peerCodec.encodeToByteArray(DigestWithoutSpeeds.serializer(), previous)
             peerCodec.decodeUntrusted(FleetDigest.serializer(), previousBytes).speeds shouldBe emptyList()
         }
     }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ReleaseMessagesSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ReleaseMessagesSpec.kt
@@ -30,7 +30,7 @@
 
 /** The fields of a digest that an instance of the previous release knows and that it can't do without. */
 @Serializable
-private class PreviousDigest(val id: String, val incarnation: Long, val sequence: Long, val zone: String, val serves: Boolean)
+private class DigestWithoutReleases(val id: String, val incarnation: Long, val sequence: Long, val zone: String, val serves: Boolean)
 
 @OptIn(ExperimentalSerializationApi::class)
 class ReleaseMessagesSpec : DescribeSpec({
@@ -51,7 +51,7 @@
         it("does not keep an instance of the previous release from reading the digest") {
             val digest = FleetDigest("i-1", 1, 5, "zone-a", "10.0.0.1:1", "10.0.0.1:2", serves = true, releases = listOf(NOTICE))
             val bytes = peerCodec.encodeToByteArray(FleetDigest.serializer(), digest)
-            peerCodec.decodeUntrusted(PreviousDigest.serializer(), bytes).sequence shouldBe 5
+            peerCodec.decodeUntrusted(DigestWithoutReleases.serializer(), bytes).sequence shouldBe 5
         }
     }
 
