--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucket.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ReplicatedTokenBucket.kt
@@ -99,8 +99,8 @@
 
     /**
      * Deducts what [peer] has consumed since its last report. The first report of a peer deducts nothing, but a copy that is younger than
-     * [STARTUP_PERIOD] adopts its level, less what this instance has consumed meanwhile. The first one after a restart of the peer deducts what the peer has consumed since its start,
-     * and what it probably consumed between its last report and its end.
+     * [STARTUP_PERIOD] adopts its level, less what this instance has consumed meanwhile. The first one after a restart of the
+     * peer deducts what the peer has consumed since its start, and what it probably consumed between its last report and its end.
      */
     public fun recordPeerUsage(peer: InstanceId, incarnation: InstanceIncarnation, usage: TokenBucketUsage, now: MonotonicTime) {
         addRefill(now)
--- a/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/rollout/ReleaseDirectory.kt
@@ -273,8 +273,9 @@
         val known = versions[pool]
         val release = releases[pool]
         if (known != null && version in known.rejected) return false
-        if (release == null && !holdsUnknownVersions) return true
-        if (version.isEmpty() || release?.targetVersion == version || known?.served?.contains(version) == true) return true
+        val isKnown = release?.targetVersion == version || known?.served?.contains(version) == true
+        val isHeld = release != null || holdsUnknownVersions
+        if (isKnown || version.isEmpty() || !isHeld) return true
         recordEntry(pool, version, now)
         val current = versionsOf(pool)
         if (version in current.served) return true
--- a/core/src/test/kotlin/org/cactuspulley/core/rollout/ReleaseSimulation.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/rollout/ReleaseSimulation.kt
@@ -42,7 +42,8 @@
         val releases = ReleaseDirectory()
         val controller = ReleaseController(releases, ServiceTimesRegistry())
         val versions = VersionSelector(releases, directory, random = random)
-        val selector = TargetSelector(directory, ZoneName("zone-a"), TargetRateLimits(FleetView(fleetMember(id.text))), random, versions = versions)
+        val selector =
+            TargetSelector(directory, ZoneName("zone-a"), TargetRateLimits(FleetView(fleetMember(id.text))), random, versions = versions)
         val totals = EvidenceTotals()
         var recorder: EvidenceRecorder? = null
         var isLive = true
