Balance only zones that have enough targets and instances

Cause: two engines a zone read the shared prompts for a quarter of the requests each, and callers of a zone depended on two instances. Change: a pool needs five targets in the zone, and a zone five instances for its callers to be sent there alone.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/FleetView.kt
@@ -230,8 +230,8 @@
         /** The size of a small fleet; a store that rejects some instances seldom rejects this many. */
         const val STORE_CHECKERS = 8
 
-        /** With two instances, callers of the zone are still served if one of them is lost. */
-        const val MIN_ZONE_INSTANCES = 2
+        /** With five instances, the loss of one adds no more than a quarter to the load of each other one of the zone. */
+        const val MIN_ZONE_INSTANCES = 5
 
         /** The largest number of addresses in a response to a caller. */
         const val MAX_ADDRESSES = 64
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/TargetSelector.kt
@@ -66,7 +66,8 @@
  *
  * With [speeds], the load of a target counts by the time that it takes there, so that slow targets get proportionally less.
  *
- * With a [zoneBalance], all of this applies to the targets of one zone, which the balance decides on first.
+ * With a [zoneBalance], all of this applies to the targets of one zone, which the balance decides on first, if the pool has enough targets
+ * in the own zone.
  */
 public class TargetSelector(
     private val directory: TargetDirectory,
@@ -101,7 +102,7 @@
         now: MonotonicTime,
         choose: (List<Target>) -> Target,
     ): Target {
-        val balance = zoneBalance ?: return choose(candidates)
+        val balance = zoneBalance?.takeIf { hasEnoughTargets(it, criteria.grant.pool) } ?: return choose(candidates)
         val flow = ZoneFlow(criteria.grant.pool, criteria.grant.route.name)
         val (own, others) = candidates.partition { it.entry.zone == zone }
         if (own.isEmpty()) {
@@ -121,6 +122,9 @@
         return if (now + start <= terms.objectiveAt) chosen else zoneTargets.minBy { starts.getValue(it) ?: start }
     }
 
+    private fun hasEnoughTargets(balance: ZoneBalance, pool: PoolName): Boolean =
+        directory.members(pool).count { it.entry.zone == zone && !it.isLeaving } >= balance.minimumTargets
+
     private fun List<Target>.earliest(starts: Map<Target, Duration?>): Duration? = mapNotNull { starts[it] }.minOrNull()
 
     private fun expectedStart(
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ZoneBalance.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ZoneBalance.kt
@@ -43,8 +43,14 @@
  * A request may leave if it can start in time in another zone, with a margin that leaves that zone room for its own requests. The share of
  * the requests that do leave grows while requests would miss their objectives in the own zone, and shrinks when they would
  * clearly meet them. In between it stays, so that the zones do not exchange their load back and forth.
+ *
+ * @property minimumTargets the number of targets that a pool must have in the zone for any of this to apply to it.
  */
-public class ZoneBalance(private val zone: ZoneName, private val random: Random = Random.Default) {
+public class ZoneBalance(
+    private val zone: ZoneName,
+    private val random: Random = Random.Default,
+    public val minimumTargets: Int = MINIMUM_TARGETS,
+) {
     private class FlowState {
         val model = StartTimeModel()
         var share = 0.0
@@ -187,6 +193,9 @@
     }
 
     private companion object {
+        /** With five targets, the others take the load of one that is lost or loads weights within the load limit of 1.25 times the mean. */
+        const val MINIMUM_TARGETS = 5
+
         /** A round trip between zones, at 1 ms to 2 ms one way, until starts there have been observed. */
         val INITIAL_LATENCY = 4.milliseconds
 
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/FleetViewSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/FleetViewSpec.kt
@@ -103,15 +103,19 @@
         }
 
         // Guards against callers of a zone that all depend on one instance.
-        it("are only those of the caller's zone if it suffices and two instances serve there") {
+        it("are only those of the caller's zone if it suffices and five instances serve there") {
             val fleet = FleetView(member("self", 1))
             fleet.selfServes = true
             fleet.recordContact(member("far", 1, "zone-b"), serves = true, reachesStore = true, at(1.seconds))
             fleet.callerAddresses(ZoneName("zone-a"), at(1.seconds), zoneSuffices = true) shouldBe listOf("self:1", "far:1")
-            fleet.recordContact(member("near", 1), serves = true, reachesStore = true, at(2.seconds))
-            fleet.callerAddresses(ZoneName("zone-a"), at(2.seconds), zoneSuffices = true).toSet() shouldBe setOf("self:1", "near:1")
-            fleet.callerAddresses(ZoneName("zone-a"), at(2.seconds), zoneSuffices = false).size shouldBe 3
-            fleet.callerAddresses(null, at(2.seconds), zoneSuffices = true).size shouldBe 3
+            val near = (1..4).map { "near-$it" }
+            near.dropLast(1).forEach { fleet.recordContact(member(it, 1), serves = true, reachesStore = true, at(2.seconds)) }
+            fleet.callerAddresses(ZoneName("zone-a"), at(2.seconds), zoneSuffices = true).last() shouldBe "far:1"
+            fleet.recordContact(member(near.last(), 1), serves = true, reachesStore = true, at(2.seconds))
+            val addresses = fleet.callerAddresses(ZoneName("zone-a"), at(2.seconds), zoneSuffices = true)
+            addresses.toSet() shouldBe near.map { "$it:1" }.toSet() + "self:1"
+            fleet.callerAddresses(ZoneName("zone-a"), at(2.seconds), zoneSuffices = false).size shouldBe 6
+            fleet.callerAddresses(null, at(2.seconds), zoneSuffices = true).size shouldBe 6
         }
     }
 })
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/ZoneBalanceSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/ZoneBalanceSpec.kt
@@ -24,7 +24,7 @@
     RequestTerms(now + objective, now + 5.seconds, units, usualTotal = 2.seconds, bodyBytes = bytes)
 
 /** A balance that has observed that a unit of load takes 100 ms. */
-private fun learnedBalance(seed: Int = 1) = ZoneBalance(OWN, Random(seed)).apply {
+private fun learnedBalance(seed: Int = 1) = ZoneBalance(OWN, Random(seed), minimumTargets = 4).apply {
     (1..100).forEach { recordStart(FLOW, OWN, ExpectedWork(1.0 + it % 5, 0.0), 2.seconds, 100.milliseconds * (1 + it % 5), START) }
 }
 
@@ -72,8 +72,14 @@
             zones.targets(200, START).map { it.id.text }.toSet() shouldBe setOf("a-2", "a-3", "a-4")
         }
 
-        it("serves its requests also before anything is known of start latencies") {
+        // Guards against a few targets that read the prompts of a whole zone and can't make up for one that is lost.
+        it("sends its requests to the targets of all zones if it has fewer than the least number of them") {
             val zones = TwoZones(balance = ZoneBalance(OWN))
+            zones.zones(50, START).toSet() shouldBe setOf("zone-a", "zone-b")
+        }
+
+        it("serves its requests also before anything is known of start latencies") {
+            val zones = TwoZones(balance = ZoneBalance(OWN, minimumTargets = 4))
             zones.load("zone-a", 50.0)
             zones.zones(50, START).toSet() shouldBe setOf("zone-a")
         }
