--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ZoneBalance.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ZoneBalance.kt
@@ -193,7 +193,7 @@
     }
 
     private companion object {
-        /** With five targets, the others take the load of one that is lost or loads weights within the load limit of 1.25 times the mean. */
+        /** With five targets, the others take the load of one that is lost within the load limit of 1.25 times the mean. */
         const val MINIMUM_TARGETS = 5
 
         /** A round trip between zones, at 1 ms to 2 ms one way, until starts there have been observed. */
