--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -16,6 +16,7 @@
     val link: LinkSettings = LinkSettings(),
     val bounds: FleetBounds = FleetBounds(),
     val routing: RoutingSettings = RoutingSettings(),
+    val platform: PlatformSettings = PlatformSettings(),
     val log: LogSettings = LogSettings(LogFormat.JSON.text),
     val stop: StopSettings = StopSettings(),
 )
@@ -30,6 +31,14 @@
 @Serializable
 public data class ForwardingListenSettings(val callers: String, val questions: List<String>, val peers: String)
 
+/**
+ * What the platform says of itself.
+ *
+ * @property contracts the parts of the platform's rules that are in force, by the platform's names; its adapter interprets them.
+ */
+@Serializable
+public data class PlatformSettings(val contracts: List<String> = emptyList())
+
 /** The address of the platform's log. */
 @Serializable
 public data class StoreSettings(val address: String)
