--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/settings/ForwardingSettings.kt
@@ -16,7 +16,7 @@
     val link: LinkSettings = LinkSettings(),
     val bounds: FleetBounds = FleetBounds(),
     val routing: RoutingSettings = RoutingSettings(),
-    val platform: PlatformSettings = PlatformSettings(),
+    val platform: PlatformContractSettings = PlatformContractSettings(),
     val log: LogSettings = LogSettings(LogFormat.JSON.text),
     val stop: StopSettings = StopSettings(),
 )
@@ -37,7 +37,7 @@
  * @property contracts the parts of the platform's rules that are in force, by the platform's names; its adapter interprets them.
  */
 @Serializable
-public data class PlatformSettings(val contracts: List<String> = emptyList())
+public data class PlatformContractSettings(val contracts: List<String> = emptyList())
 
 /** The address of the platform's log. */
 @Serializable
