--- a/review/stand/Fleet.java
+++ b/review/stand/Fleet.java
@@ -93,7 +93,9 @@
         instance.peers = freeDatagramPort();
         String settings = Files.readString(root.resolve("deploy/node.toml.template"))
             .replace("{{ip}}:7601", "127.0.0.1:" + metrics)
-            .replace("{{ip}}:{{port_range.0}}", "127.0.0.1:" + instance.peers);
+            .replace("{{ip}}:{{port_range.0}}", "127.0.0.1:" + instance.peers)
+            // The stand has no optional values, so that their sections are rendered as nothing.
+            .replaceAll("\\{\\{#([^}]*)}}.*?\\{\\{/\\1}}", "");
         Map<String, String> values = Map.ofEntries(
             Map.entry("node_name", name), Map.entry("zone", "zone-a"),
             Map.entry("listen.front", "127.0.0.1:" + instance.front), Map.entry("listen.ready", "127.0.0.1:" + instance.ready),
@@ -101,7 +103,8 @@
             Map.entry("limits.link_mbps", "1000.0"), Map.entry("bounds.retry_budget_ratio", "0.2"), Map.entry("bounds.retry_slack", "54"),
             Map.entry("bounds.retry_window_s", "10"),
             Map.entry("bounds.quota_window_s", "8"), Map.entry("bounds.quota_overshoot", "0.1"), Map.entry("bounds.quota_slack", "110000"),
-            Map.entry("bounds.lease_ms", "3000"), Map.entry("bounds.version_ms", "8000"));
+            Map.entry("bounds.lease_ms", "3000"), Map.entry("bounds.version_ms", "8000"),
+            Map.entry("contracts|json", "[\"base\", \"drain\", \"config\"]"));
         for (Map.Entry<String, String> value : values.entrySet()) {
             settings = settings.replace("{{" + value.getKey() + "}}", value.getValue());
         }
