Account for requests on the router's own door as on the platform's

Callers saw: 300 connections, each with a head of 4,025 lines `a:` and a body that stays away, or with as many trailers, left a router with a heap of 64 MB without any thread that answers. The process stayed, answered nobody after the crowd had gone either, and did not end on SIGTERM.

Cause: CallerServer decoded heads with HttpServerCodec and collected bodies with HttpObjectAggregator. Neither counts what it holds as objects, trailers were kept, and nothing limited the requests of all connections together.

Change: BufferMemory, AccountedHeaders and CallerRequestDecoder move to a package of their own, `http`, and serve both doors. The collection of heads and bodies, which the platform's door had inline, is RequestCollector now and serves both as well, so that a request with two lengths is refused by the router too, and a body that is announced as too large is refused at once on both. BufferMemory may be shared by several event loops: the router has two. A request that there is no memory for is refused with 503 `memory_short` as not run, after the responses to earlier requests of its connection.

--- a/core/src/main/kotlin/org/cactuspulley/core/requests/Refusal.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/requests/Refusal.kt
@@ -48,6 +48,7 @@
     RETRIES_EXHAUSTED(503, "retries_exhausted", "too many attempts of this instance fail"),
     LOG_UNAVAILABLE(503, "log_unavailable", "a request that must not be repeated cannot be recorded"),
     SUSPECT(503, "suspect", "a request like this one crashed a target and another trial of it runs"),
+    MEMORY_SHORT(503, "memory_short", "the requests that this instance holds leave no memory for another one"),
     TOO_MANY_CONNECTIONS(503, "too_many_connections", "this instance has too many connections"),
     DEADLINE_PASSED(504, "deadline_passed", "the deadline passed"),
 }
--- a/core/src/test/kotlin/org/cactuspulley/core/requests/RefusalNotRunSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/requests/RefusalNotRunSpec.kt
@@ -265,6 +265,7 @@
                 RefusalKind.REQUEST_TIMEOUT,
                 RefusalKind.BODY_TOO_LARGE,
                 RefusalKind.HEADERS_TOO_LARGE,
+                RefusalKind.MEMORY_SHORT,
                 RefusalKind.TOO_MANY_CONNECTIONS,
                 RefusalKind.IDEMPOTENCY_KEY_EXPIRED,
             )
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
@@ -1,34 +1,48 @@
 package org.cactuspulley.runtime.edge
 
 import com.github.michaelbull.result.fold
-import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.DuplexChannel
-import io.netty.handler.codec.TooLongFrameException
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.QueryStringDecoder
+import io.netty.util.ReferenceCountUtil
 import org.cactuspulley.core.event.RequestAbandoned
+import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.core.platform.TargetHeaders
 import org.cactuspulley.core.requests.Refusal
 import org.cactuspulley.core.requests.RefusalKind
+import org.cactuspulley.runtime.http.BufferMemory
+import org.cactuspulley.runtime.http.CallerRequestDecoder
+import org.cactuspulley.runtime.http.CollectedPart
+import org.cactuspulley.runtime.http.CollectedRequest
+import org.cactuspulley.runtime.http.InvalidRequest
+import org.cactuspulley.runtime.http.MemoryHolder
+import org.cactuspulley.runtime.http.RequestCollector
+import org.cactuspulley.runtime.http.writeContinueIfExpected
 import java.util.concurrent.CompletionStage
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 /** The functions and state of the server that its connections use. */
 internal interface CallerConnectionContext {
     val exchangeContext: ExchangeContext
     val endpoints: LocalEndpoints
     val requestParser: CallerRequestParser
+    val settings: CallerServerSettings
+
+    /** The memory of the requests of all connections, which are held until they have their responses. */
+    val requestMemory: BufferMemory
 
     /** Returns the id of the next request. */
     fun nextRequestId(): RequestId
@@ -38,45 +52,103 @@
 }
 
 /** Serves the requests of one connection sequentially. Pipelined requests wait for the preceding response. */
-internal class CallerConnection(private val server: CallerConnectionContext) : SimpleChannelInboundHandler<FullHttpRequest>(false) {
-    private val pipelinedRequests = ArrayDeque<FullHttpRequest>()
+internal class CallerConnection(private val server: CallerConnectionContext) :
+    ChannelInboundHandlerAdapter(),
+    MemoryHolder {
+    private lateinit var connectionContext: ChannelHandlerContext
+    private val memory = server.requestMemory.Share(this)
+    private val collector = RequestCollector({ server.settings.maximumBodyBytes }, ::recordMemory)
+    private val pipelinedRequests = ArrayDeque<CollectedRequest>()
     private var activeExchange: CallerExchange? = null
     private var activeRequestId: RequestId? = null
+
+    /** The size of the request whose response is outstanding. */
+    private var activeBytes = 0L
     private var respondingLocally = false
+
+    @Volatile
     private var closing = false
 
-    override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        when {
-            closing -> request.release()
+    /** Why the request after the ones that are being served is refused; null if it is not. */
+    @Volatile
+    private var pendingRefusal: RefusalKind? = null
 
-            activeExchange == null && !respondingLocally -> handle(context, request)
+    /** Decodes the requests of this connection. */
+    val decoder = CallerRequestDecoder(
+        server.settings.maximumHeaderBytes,
+        server.requestMemory.Share(this),
+        server.settings.maximumRequestLineBytes,
+    ) { lastActive = server.exchangeContext.clock.now() }
 
-            pipelinedRequests.size < MAXIMUM_PIPELINED_REQUESTS -> pipelinedRequests.addLast(request)
+    @Volatile
+    override var lastActive: MonotonicTime = server.exchangeContext.clock.now()
+        private set
+    override val isReading: Boolean get() = acceptsInput && (collector.isReading || decoder.isInHead)
+    override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
-            else -> {
-                request.release()
-                context.close()
-            }
-        }
+    private val acceptsInput: Boolean get() = !closing && pendingRefusal == null
+
+    /** Whether a request is being served or waits for that. */
+    private val isServing: Boolean get() = activeExchange != null || respondingLocally || pipelinedRequests.isNotEmpty()
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        connectionContext = context
     }
 
-    private fun handle(context: ChannelHandlerContext, request: FullHttpRequest) {
-        context.pipeline().get(RequestTimeoutHandler::class.java)?.onRequestReceived()
+    override fun channelActive(context: ChannelHandlerContext) {
+        server.requestMemory.register(this)
+        context.fireChannelActive()
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (!request.decoderResult().isSuccess) return refuseAndClose(context, decoderRefusalKind(request.decoderResult().cause()))
-            if (!handleLocally(context, request)) forward(context, request)
+            if (message is HttpObject && acceptsInput) read(context, message)
         } finally {
-            request.release()
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun read(context: ChannelHandlerContext, message: HttpObject) {
+        when (val part = collector.collect(message)) {
+            CollectedPart.Incomplete -> context.writeContinueIfExpected(message)
+            is CollectedPart.Complete -> enqueue(context, part.request)
+            is CollectedPart.Invalid -> refuseAndClose(context, refusalKindOf(part.reason))
+        }
+    }
+
+    private fun refusalKindOf(reason: InvalidRequest) = when (reason) {
+        InvalidRequest.MALFORMED -> RefusalKind.MALFORMED_REQUEST
+        InvalidRequest.HEAD_TOO_LARGE -> RefusalKind.HEADERS_TOO_LARGE
+        InvalidRequest.BODY_TOO_LARGE -> RefusalKind.BODY_TOO_LARGE
+        InvalidRequest.NO_MEMORY -> RefusalKind.MEMORY_SHORT
+    }
+
+    private fun enqueue(context: ChannelHandlerContext, request: CollectedRequest) {
+        if (pipelinedRequests.size >= MAXIMUM_PIPELINED_REQUESTS) {
+            context.close()
+            return
         }
+        pipelinedRequests.addLast(request)
+        if (activeExchange == null && !respondingLocally) handleNext(context)
+        recordMemory()
     }
 
-    private fun decoderRefusalKind(cause: Throwable): RefusalKind =
-        if (cause is TooLongFrameException) RefusalKind.HEADERS_TOO_LARGE else RefusalKind.MALFORMED_REQUEST
+    private fun handleNext(context: ChannelHandlerContext) {
+        val request = pipelinedRequests.removeFirstOrNull() ?: return
+        activeBytes = request.heldBytes
+        recordMemory()
+        context.pipeline().get(RequestTimeoutHandler::class.java)?.onRequestReceived()
+        if (!handleLocally(context, request)) forward(context, request)
+    }
+
+    /** Records what the requests of this connection hold; returns false if that is too much. */
+    private fun recordMemory(): Boolean = memory.resize(collector.heldBytes + pipelinedRequests.sumOf { it.heldBytes } + activeBytes)
 
     /** Responds to a request that no target serves. Returns false if the request must be forwarded. */
-    private fun handleLocally(context: ChannelHandlerContext, request: FullHttpRequest): Boolean {
-        val query = QueryStringDecoder(request.uri())
-        val digest by lazy { CallerKey.fromHeaders(request.headers())?.digest }
+    private fun handleLocally(context: ChannelHandlerContext, request: CollectedRequest): Boolean {
+        val head = request.head
+        val query = QueryStringDecoder(head.uri())
+        val digest by lazy { CallerKey.fromHeaders(head.headers())?.digest }
         val endpoints = server.endpoints
         val endpoint: () -> CompletionStage<LocalResponse> = when (query.path()) {
             "/v1/entry" -> { -> endpoints.entry(EntryQuery(digest, query.parameters()["zone"]?.firstOrNull()?.let(::ZoneName))) }
@@ -90,45 +162,44 @@
             "/metrics" -> endpoints::metrics
 
             in CallerRequestParser.MODEL_PATHS -> {
-                if (request.method() == HttpMethod.POST) return false
-                refuse(context, request, RefusalKind.METHOD_NOT_ALLOWED)
+                if (head.method() == HttpMethod.POST) return false
+                refuse(context, head, RefusalKind.METHOD_NOT_ALLOWED)
                 return true
             }
 
             else -> {
                 if (!query.path().startsWith(OPERATOR_PATH_PREFIX)) return false
-                respondLocally(context, request, endpoints.operator(operatorRequest(query.path(), request)))
+                respondLocally(context, head, endpoints.operator(operatorRequest(query.path(), request)))
                 return true
             }
         }
-        if (request.method() != HttpMethod.GET) {
-            refuse(context, request, RefusalKind.METHOD_NOT_ALLOWED)
+        if (head.method() != HttpMethod.GET) {
+            refuse(context, head, RefusalKind.METHOD_NOT_ALLOWED)
         } else {
-            respondLocally(context, request, endpoint())
+            respondLocally(context, head, endpoint())
         }
         return true
     }
 
-    private fun operatorRequest(path: String, request: FullHttpRequest) = OperatorRequest(
-        method = request.method().name(),
+    private fun operatorRequest(path: String, request: CollectedRequest) = OperatorRequest(
+        method = request.head.method().name(),
         path = path.removePrefix(OPERATOR_PATH_PREFIX),
-        secret = request.headers().get(HttpHeaderNames.AUTHORIZATION)?.removePrefix("Bearer "),
-        body = ByteBufUtil.getBytes(request.content()),
+        secret = request.head.headers().get(HttpHeaderNames.AUTHORIZATION)?.removePrefix("Bearer "),
+        body = request.body,
     )
 
-    private fun respondLocally(context: ChannelHandlerContext, request: FullHttpRequest, response: CompletionStage<LocalResponse>) {
+    private fun respondLocally(context: ChannelHandlerContext, request: HttpRequest, response: CompletionStage<LocalResponse>) {
         respondingLocally = true
-        request.retain()
         response.whenComplete { result, failure ->
             context.executor().execute {
                 val localResponse = if (failure == null) result else LocalResponse(SERVICE_UNAVAILABLE, ByteArray(0))
                 writeResponse(context, request, fullResponse(localResponse.status, localResponse.body, localResponse.contentType))
-                request.release()
             }
         }
     }
 
-    private fun forward(context: ChannelHandlerContext, request: FullHttpRequest) {
+    private fun forward(context: ChannelHandlerContext, request: CollectedRequest) {
+        val head = request.head
         val id = server.nextRequestId()
         val now = server.exchangeContext.clock.now()
         server.requestParser.parse(request, id, now).fold(
@@ -136,8 +207,8 @@
                 val newExchange = CallerExchange(
                     request = parsed,
                     callerContext = context,
-                    keepAlive = HttpUtil.isKeepAlive(request),
-                    supportsChunkedEncoding = request.protocolVersion() == HttpVersion.HTTP_1_1,
+                    keepAlive = HttpUtil.isKeepAlive(head),
+                    supportsChunkedEncoding = head.protocolVersion() == HttpVersion.HTTP_1_1,
                     context = server.exchangeContext,
                     onResponseEnd = { staysOpen -> onResponseEnd(context, staysOpen) },
                 )
@@ -145,16 +216,16 @@
                 activeRequestId = id
                 server.startExchange(parsed, newExchange)
             },
-            failure = { kind -> refuse(context, request, kind) },
+            failure = { kind -> refuse(context, head, kind) },
         )
     }
 
-    private fun refuse(context: ChannelHandlerContext, request: FullHttpRequest, kind: RefusalKind) {
+    private fun refuse(context: ChannelHandlerContext, request: HttpRequest, kind: RefusalKind) {
         val refusal = Refusal(kind, notRun = kind != RefusalKind.IDEMPOTENCY_KEY_EXPIRED)
         writeResponse(context, request, refusalResponse(refusal, server.exchangeContext.clock.now()))
     }
 
-    private fun writeResponse(context: ChannelHandlerContext, request: FullHttpRequest, response: FullHttpResponse) {
+    private fun writeResponse(context: ChannelHandlerContext, request: HttpRequest, response: FullHttpResponse) {
         val staysOpen = HttpUtil.isKeepAlive(request) && !server.exchangeContext.isDraining()
         request.headers().get(TargetHeaders.REQUEST_ID)?.let { response.headers().set(TargetHeaders.REQUEST_ID, it) }
         if (!staysOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -163,11 +234,19 @@
         onResponseEnd(context, staysOpen)
     }
 
-    /** Sends an error response and closes the connection. Further input is discarded. */
+    /** Sends an error response, after those to earlier requests, and closes the connection. Further input is discarded. */
     fun refuseAndClose(context: ChannelHandlerContext, kind: RefusalKind) {
         if (closing) return
+        collector.clear()
+        decoder.release()
+        recordMemory()
+        if (isServing) {
+            pendingRefusal = pendingRefusal ?: kind
+            return
+        }
         closing = true
-        val response = refusalResponse(Refusal(kind, notRun = true), server.exchangeContext.clock.now())
+        val now = server.exchangeContext.clock.now()
+        val response = refusalResponse(Refusal(kind, notRun = true, retryAt = (now + RETRY_DELAY).takeIf { kind in PASSING }), now)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         context.writeAndFlush(response).addListener { lingeringClose(context) }
     }
@@ -185,15 +264,29 @@
         respondingLocally = false
         activeExchange = null
         activeRequestId = null
+        activeBytes = 0
+        recordMemory()
+        lastActive = server.exchangeContext.clock.now()
         closing = closing || !staysOpen
-        val next = pipelinedRequests.removeFirstOrNull()
-        context.pipeline().get(RequestTimeoutHandler::class.java)?.onResponseEnd(context, nextRequestPending = next != null)
-        if (next != null) context.executor().execute { channelRead0(context, next) }
+        val hasNext = pipelinedRequests.isNotEmpty()
+        val refusal = pendingRefusal
+        if (!hasNext && refusal != null) return refuseAndClose(context, refusal)
+        context.pipeline().get(RequestTimeoutHandler::class.java)?.onResponseEnd(context, nextRequestPending = hasNext)
+        if (hasNext) context.executor().execute { if (!closing && activeExchange == null && !respondingLocally) handleNext(context) }
+    }
+
+    override fun evict() {
+        val loop = connectionContext.channel().eventLoop()
+        if (loop.inEventLoop()) refuseForMemory() else loop.execute(::refuseForMemory)
+    }
+
+    private fun refuseForMemory() {
+        if (isReading) refuseAndClose(connectionContext, RefusalKind.MEMORY_SHORT)
     }
 
     /** Closes the connection if it has no active or waiting request. */
     fun closeIfIdle(context: ChannelHandlerContext) {
-        if (activeExchange == null && !respondingLocally && pipelinedRequests.isEmpty()) context.close()
+        if (!isServing) context.close()
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
@@ -210,8 +303,11 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         closing = true
-        pipelinedRequests.forEach { it.release() }
+        server.requestMemory.unregister(this)
+        decoder.release()
+        collector.clear()
         pipelinedRequests.clear()
+        memory.resize(0)
         activeExchange?.onCallerDisconnected()
         activeRequestId?.let { server.exchangeContext.submit(RequestAbandoned(it)) }
         activeExchange = null
@@ -227,5 +323,11 @@
         const val OPERATOR_PATH_PREFIX = "/operator/"
         const val SERVICE_UNAVAILABLE = 503
         const val LINGER_MILLIS = 2_000L
+
+        /** Refusals after which the same request may be served soon. */
+        val PASSING = setOf(RefusalKind.MEMORY_SHORT, RefusalKind.TOO_MANY_CONNECTIONS)
+
+        /** The least that `Retry-After`, which is in seconds, can say. */
+        val RETRY_DELAY = 1.seconds
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerRequest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerRequest.kt
@@ -4,10 +4,9 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import io.netty.buffer.ByteBufUtil
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.QueryStringDecoder
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -28,6 +27,7 @@
 import org.cactuspulley.core.requests.RefusalKind
 import org.cactuspulley.core.requests.RequestDescription
 import org.cactuspulley.core.routing.splitPrompt
+import org.cactuspulley.runtime.http.CollectedRequest
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -54,10 +54,11 @@
     private val settings: CallerServerSettings,
     private val wallClockMillis: () -> Long,
 ) {
-    /** Parses [request], which arrived at [now] and gets [id], or returns the reason to refuse it. */
-    fun parse(request: FullHttpRequest, id: RequestId, now: MonotonicTime): Result<CallerRequest, RefusalKind> {
+    /** Parses [collected], which arrived at [now] and gets [id], or returns the reason to refuse it. */
+    fun parse(collected: CollectedRequest, id: RequestId, now: MonotonicTime): Result<CallerRequest, RefusalKind> {
+        val request = collected.head
+        val body = collected.body
         val key = CallerKey.fromHeaders(request.headers())
-        val body = ByteBufUtil.getBytes(request.content())
         val path = QueryStringDecoder(request.uri()).path()
         val idempotencyKey = request.headers().get(TargetHeaders.IDEMPOTENCY_KEY)
         val deadlineMillis = deadlineMillis(request.headers()) ?: return Err(RefusalKind.MALFORMED_REQUEST)
@@ -81,7 +82,7 @@
         val description = if (path in MODEL_PATHS) parseModelRequest(base, body) else base
         if (description == null) return Err(RefusalKind.MALFORMED_REQUEST)
         val uri = removeCredentialParameters(request.uri(), key)
-        return Ok(CallerRequest(description, request.method(), uri, request.headers().copy(), body, key, correlationId(request, id)))
+        return Ok(CallerRequest(description, request.method(), uri, request.headers(), body, key, correlationId(request, id)))
     }
 
     private fun deadlineMillis(headers: HttpHeaders): Long? {
@@ -102,13 +103,13 @@
         return wallClockMillis() - createdAtMillis > settings.idempotencyKeyRetention.inWholeMilliseconds
     }
 
-    private fun fingerprint(request: FullHttpRequest, body: ByteArray): Long = Hashing.xxh3_64().hashStream()
+    private fun fingerprint(request: HttpRequest, body: ByteArray): Long = Hashing.xxh3_64().hashStream()
         .putString(request.method().name())
         .putString(request.uri())
         .putByteArray(body)
         .asLong
 
-    private fun correlationId(request: FullHttpRequest, id: RequestId): String =
+    private fun correlationId(request: HttpRequest, id: RequestId): String =
         request.headers().get(TargetHeaders.REQUEST_ID)?.takeIf(::isValidId) ?: id.text
 
     private fun parseModelRequest(base: RequestDescription, body: ByteArray): RequestDescription? {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServer.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServer.kt
@@ -8,8 +8,6 @@
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.util.concurrent.GlobalEventExecutor
 import org.cactuspulley.core.effect.CancelAttempt
 import org.cactuspulley.core.effect.CompleteAnswer
@@ -25,6 +23,8 @@
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.requests.RefusalKind
 import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.http.BufferMemory
+import org.cactuspulley.runtime.http.CallerResponseEncoder
 import org.cactuspulley.runtime.upstream.TargetClient
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
@@ -61,6 +61,8 @@
         override val exchangeContext = ExchangeContext(targetClient, clock, submit, { draining }, { activeExchanges.remove(it) })
         override val endpoints: LocalEndpoints get() = localEndpoints
         override val requestParser = CallerRequestParser(settings, wallClockMillis)
+        override val settings: CallerServerSettings get() = this@CallerServer.settings
+        override val requestMemory = this@CallerServer.settings.requestMemoryBytes.let { BufferMemory(it, it, clock::now) }
 
         override fun nextRequestId(): RequestId = this@CallerServer.nextRequestId()
 
@@ -93,15 +95,13 @@
     }
 
     private fun initializePipeline(channel: SocketChannel) {
-        val codec = HttpDecoderConfig()
-            .setMaxInitialLineLength(settings.maximumRequestLineBytes)
-            .setMaxHeaderSize(settings.maximumHeaderBytes)
+        val connection = CallerConnection(connectionContext)
         tlsContext?.let { channel.pipeline().addLast(it.current().newHandler(channel.alloc())) }
         channel.pipeline().addLast(
             RequestTimeoutHandler(settings.requestReceiveTimeout, settings.idleTimeout),
-            HttpServerCodec(codec),
-            RequestAggregator(settings.maximumBodyBytes),
-            CallerConnection(connectionContext),
+            connection.decoder,
+            CallerResponseEncoder(connection.decoder),
+            connection,
         )
         openChannels.add(channel)
         val count = connectionCount.incrementAndGet()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServerSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServerSettings.kt
@@ -14,6 +14,7 @@
  * @property maximumBodyBytes the maximum size of a request body in bytes.
  * @property maximumHeaderBytes the maximum size of all request headers in bytes.
  * @property maximumRequestLineBytes the maximum size of a request line in bytes.
+ * @property requestMemoryBytes the memory of all requests that are held at the same time, in bytes.
  * @property maximumConnections the maximum number of open connections.
  * @property requestReceiveTimeout the maximum time from the first to the last byte of a request, and from the opening of a connection to
  *     its first byte.
@@ -30,6 +31,7 @@
     val maximumBodyBytes: Int = 16 shl 20,
     val maximumHeaderBytes: Int = 16 shl 10,
     val maximumRequestLineBytes: Int = 8 shl 10,
+    val requestMemoryBytes: Long = defaultRequestMemoryBytes(maximumBodyBytes),
     val maximumConnections: Int = 4096,
     val requestReceiveTimeout: Duration = 15.seconds,
     val idleTimeout: Duration = 75.seconds,
@@ -40,6 +42,16 @@
     val tls: TlsSettings? = null,
 )
 
+/** Returns a quarter of the heap, or what one request with the largest body takes while it arrives if that is more. */
+internal fun defaultRequestMemoryBytes(maximumBodyBytes: Int): Long =
+    maxOf(Runtime.getRuntime().maxMemory() / REQUEST_MEMORY_DIVISOR, LARGEST_REQUEST_FACTOR * maximumBodyBytes)
+
+/** The part of the heap for requests; the rest is for the state of the instance and for copies of a request. */
+private const val REQUEST_MEMORY_DIVISOR = 4
+
+/** A body that grows has twice its size; as much again is kept for other requests. */
+private const val LARGEST_REQUEST_FACTOR = 3L
+
 /**
  * PEM files for TLS. Changed files are reloaded for the next connection.
  *
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -7,24 +7,26 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.cactuspulley.core.forwarding.ForwardingRefusal
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.RequestId
-import java.io.ByteArrayOutputStream
+import org.cactuspulley.runtime.http.CallerRequestDecoder
+import org.cactuspulley.runtime.http.CollectedPart
+import org.cactuspulley.runtime.http.CollectedRequest
+import org.cactuspulley.runtime.http.InvalidRequest
+import org.cactuspulley.runtime.http.MemoryHolder
+import org.cactuspulley.runtime.http.RequestCollector
+import org.cactuspulley.runtime.http.writeContinueIfExpected
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -36,18 +38,17 @@
 ) : ChannelInboundHandlerAdapter(),
     MemoryHolder {
     /** A complete request that waits for the response to the request before it. */
-    private class PendingRequest(val head: HttpRequest, val body: ByteArray, val arrivedAt: MonotonicTime) {
-        val heldBytes: Long get() = body.size + head.heldBytes
-    }
+    private class PendingRequest(val collected: CollectedRequest, val arrivedAt: MonotonicTime)
 
     private lateinit var ctx: ChannelHandlerContext
     private val pipelined = ArrayDeque<PendingRequest>()
-    private var head: HttpRequest? = null
-    private var body = ByteArrayOutputStream(0)
+    private val collector = RequestCollector({ listener.limits.bodyBytes }, ::recordMemory)
     private val memory = context.requestMemory.Share(this)
 
     /** Decodes the requests of this connection. */
-    val decoder = CallerRequestDecoder(listener.limits.headerBytes, context.requestMemory.Share(this)) { lastActive = context.clock.now() }
+    val decoder = CallerRequestDecoder(listener.limits.headerBytes, context.requestMemory.Share(this)) {
+        lastActive = context.clock.now()
+    }
     private lateinit var unread: UnreadResponses
 
     /** The size of the request whose response is outstanding. */
@@ -62,7 +63,9 @@
         private set
 
     /** Whether a request has been received in part. */
-    override val isReading: Boolean get() = !isClosing && (head != null || decoder.isInHead)
+    override val isReading: Boolean get() = !isClosing && (collector.isReading || decoder.isInHead)
+
+    override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
     /** Whether no request is being received and no response is outstanding. */
     val isIdle: Boolean get() = !isBusy && !isReading && pipelined.isEmpty()
@@ -98,32 +101,21 @@
 
     private fun read(message: HttpObject) {
         lastActive = context.clock.now()
-        if (message.decoderResult().isFailure) {
-            val isMemoryShort = message.decoderResult().cause() is HeadersTooLargeException
-            return refuseAndClose(if (isMemoryShort) ForwardingRefusal.NO_MEMORY else ForwardingRefusal.MALFORMED)
-        }
-        if (message is HttpRequest) {
-            if (isAmbiguous(message)) return refuseAndClose(ForwardingRefusal.MALFORMED)
-            head = message
-            body = ByteArrayOutputStream(0)
-            if (!recordMemory()) return refuseAndClose(ForwardingRefusal.NO_MEMORY)
-            if (HttpUtil.is100ContinueExpected(message)) {
-                ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
-            }
+        when (val part = collector.collect(message)) {
+            CollectedPart.Incomplete -> ctx.writeContinueIfExpected(message)
+            is CollectedPart.Complete -> enqueue(part.request)
+            is CollectedPart.Invalid -> refuseAndClose(refusalOf(part.reason))
         }
-        if (message is HttpContent) readBody(message)
     }
 
-    private fun readBody(message: HttpContent) {
-        val started = head ?: return
-        val content = message.content()
-        if (body.size() + content.readableBytes() > listener.limits.bodyBytes) return refuseAndClose(ForwardingRefusal.TOO_LARGE)
-        content.readBytes(body, content.readableBytes())
-        if (!recordMemory()) return refuseAndClose(ForwardingRefusal.NO_MEMORY)
-        if (message !is LastHttpContent) return
-        head = null
-        pipelined.addLast(PendingRequest(started, body.toByteArray(), lastActive))
-        body = ByteArrayOutputStream(0)
+    private fun refusalOf(reason: InvalidRequest) = when (reason) {
+        InvalidRequest.MALFORMED, InvalidRequest.HEAD_TOO_LARGE -> ForwardingRefusal.MALFORMED
+        InvalidRequest.BODY_TOO_LARGE -> ForwardingRefusal.TOO_LARGE
+        InvalidRequest.NO_MEMORY -> ForwardingRefusal.NO_MEMORY
+    }
+
+    private fun enqueue(request: CollectedRequest) {
+        pipelined.addLast(PendingRequest(request, lastActive))
         recordMemory()
         if (pipelined.size > MAX_PIPELINED) return refuseAndClose(ForwardingRefusal.MALFORMED)
         // The caller may have closed the connection already without the close having been read: after a delay of the event loop, and if
@@ -133,23 +125,15 @@
         if (mayBeClosed) context.afterNextRead(::startNext) else startNext()
     }
 
-    /** Records what the requests of this connection hold; returns false if that is too much. A body that grows has twice its size. */
+    /** Records what the requests of this connection hold; returns false if that is too much. */
     private fun recordMemory(): Boolean =
-        memory.resize(2L * body.size() + (head?.heldBytes ?: 0) + pipelined.sumOf { it.heldBytes } + runningBytes)
-
-    /** Detects request smuggling: a message whose length can be interpreted in two ways may hide a second request. */
-    private fun isAmbiguous(message: HttpRequest): Boolean {
-        val headers = message.headers()
-        val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
-        if (codings.isEmpty()) return headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size > 1
-        return headers.contains(HttpHeaderNames.CONTENT_LENGTH) || codings.size > 1 || !codings.first().equals(CHUNKED, ignoreCase = true)
-    }
+        memory.resize(collector.heldBytes + pipelined.sumOf { it.collected.heldBytes } + runningBytes)
 
     private fun startNext() {
         // Responses that the caller does not read would accumulate.
         if (isBusy || isClosing || unread.bytes > MAX_UNREAD_BYTES) return
         val pending = pipelined.firstOrNull() ?: return
-        val parsed = protocol.read(pending.head, pending.arrivedAt)
+        val parsed = protocol.read(pending.collected.head, pending.arrivedAt)
         val awaitsConfiguration = parsed.get()?.let { context.state.awaitsConfiguration(it.deadline, context.clock.now()) } ?: false
         if (awaitsConfiguration) {
             context.schedule(CONFIGURATION_POLL_INTERVAL, ::startNext)
@@ -157,11 +141,12 @@
         }
         pipelined.removeFirst()
         isBusy = true
-        runningBytes = pending.heldBytes
-        val writer = ConnectionResponseWriter(pending.head)
+        val collected = pending.collected
+        runningBytes = collected.heldBytes
+        val writer = ConnectionResponseWriter(collected.head)
         val request = parsed.getOrElse { refusal -> return writer.refuse(refusal, null) }
         writer.request = request.id
-        val started = ForwardedExchange(context, writer, pending.head, pending.body, request, pending.arrivedAt)
+        val started = ForwardedExchange(context, writer, collected.head, collected.body, request, pending.arrivedAt)
         exchange = started
         context.exchanges += started
         started.start()
@@ -169,8 +154,7 @@
 
     private fun refuseAndClose(refusal: ForwardingRefusal) {
         isClosing = true
-        head = null
-        body = ByteArrayOutputStream(0)
+        collector.clear()
         decoder.release()
         recordMemory()
         // The caller would take the refusal for the response to an earlier request.
@@ -189,7 +173,7 @@
 
     override fun evict() {
         if (isClosing) return
-        context.log.event("caller_evicted", "held" to memory.bytes + decoder.heldBytes)
+        context.log.event("caller_evicted", "held" to heldBytes)
         refuseAndClose(ForwardingRefusal.NO_MEMORY)
     }
 
@@ -293,8 +277,6 @@
     }
 
     private companion object {
-        const val CHUNKED = "chunked"
-
         /** How often a request that waits for the first configuration looks for it; a read of it takes several times as long. */
         val CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import org.cactuspulley.core.forwarding.CallerLimits
+import org.cactuspulley.runtime.http.CallerResponseEncoder
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -10,6 +10,7 @@
 import org.cactuspulley.core.queueing.FairRequestQueue
 import org.cactuspulley.core.queueing.QueueSettings
 import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.http.BufferMemory
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/QueryListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/QueryListener.kt
@@ -18,6 +18,10 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.runtime.http.CallerRequestDecoder
+import org.cactuspulley.runtime.http.CallerResponseEncoder
+import org.cactuspulley.runtime.http.MemoryHolder
+import org.cactuspulley.runtime.http.heldBytes
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -61,6 +65,7 @@
         override var lastActive: MonotonicTime = context.clock.now()
             private set
         override val isReading: Boolean get() = query != null || decoder.isInHead
+        override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
         private fun recordArrival() {
             lastActive = context.clock.now()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.cactuspulley.core.model.RequestId
+import org.cactuspulley.runtime.http.BufferMemory
 
 /** The request that a response belongs to. */
 internal enum class ResponseOwner {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpObjectDecoder
 import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
+import org.cactuspulley.runtime.http.BufferMemory
+import org.cactuspulley.runtime.http.accountedDecoderConfig
 import org.cactuspulley.runtime.platform.ExpectedResponseDecoder
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration.Companion.milliseconds
@@ -49,8 +51,11 @@
         override fun initChannel(channel: Channel) {
             val share = newShare()
             val handler = TargetResponseHandler(share)
-            val config = accountedDecoderConfig(HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE, share::grow)
-                .setMaxInitialLineLength(HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH)
+            val config = accountedDecoderConfig(
+                HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE,
+                HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH,
+                share::grow,
+            )
             val decoder = ExpectedResponseDecoder({ onUnexpectedBytes(channel) }, config = config) { handler.listener != null }
             channel.pipeline().addLast(HttpRequestEncoder(), decoder, handler)
         }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/UnreadResponses.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/UnreadResponses.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.runtime.http.MemoryHolder
 import kotlin.time.Duration
 
 /** What was written to [channel] and has not been taken by the network, because the other side reads slowly or not at all. */
@@ -20,6 +21,7 @@
         private set
 
     override val isReading: Boolean get() = memory.bytes > 0
+    override val heldBytes: Long get() = memory.bytes
 
     /** Records that [bytes] will be written. */
     fun add(bytes: Int) {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/AccountedHeaders.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/http/AccountedHeaders.kt
@@ -1,7 +1,7 @@
 /*
  * Header lines are kept as objects that need many times their bytes on the wire. These headers tell how much while lines are decoded.
  */
-package org.cactuspulley.runtime.forwarding
+package org.cactuspulley.runtime.http
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -42,9 +42,18 @@
     }
 }
 
-/** Returns the configuration of a decoder that keeps no trailers and passes the memory of header lines to [grow]. */
-internal fun accountedDecoderConfig(maxHeadBytes: Int, grow: (Long) -> Boolean): HttpDecoderConfig = untrailedDecoderConfig()
-    .setMaxInitialLineLength(maxHeadBytes)
+/**
+ * Returns the configuration of a decoder that keeps no trailers and passes the memory of header lines to [grow].
+ *
+ * @param maxHeadBytes the largest size of all header lines together.
+ * @param maxFirstLineBytes the largest size of the line before them.
+ */
+internal fun accountedDecoderConfig(
+    maxHeadBytes: Int,
+    maxFirstLineBytes: Int = maxHeadBytes,
+    grow: (Long) -> Boolean,
+): HttpDecoderConfig = untrailedDecoderConfig()
+    .setMaxInitialLineLength(maxFirstLineBytes)
     .setMaxHeaderSize(maxHeadBytes)
     .setHeadersFactory(object : HttpHeadersFactory {
         override fun newHeaders(): HttpHeaders = AccountedHeaders(grow)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerRequestDecoder.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/http/CallerRequestDecoder.kt
@@ -1,4 +1,4 @@
-package org.cactuspulley.runtime.forwarding
+package org.cactuspulley.runtime.http
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
@@ -19,15 +19,17 @@
  * The folded lines of a header are joined in the buffer (RFC 9112, section 5.2), because the decoder itself would copy all that it has of
  * the header for each line.
  *
- * @param maxHeadBytes the largest size of a head and of a trailer.
+ * @param maxHeadBytes the largest size of the header lines of a head, and of a trailer.
  * @param share the memory of what is held.
+ * @param maxFirstLineBytes the largest size of a request line.
  * @param onBytes called when bytes arrive.
  */
 internal class CallerRequestDecoder(
     maxHeadBytes: Int,
     private val share: BufferMemory.Share,
+    maxFirstLineBytes: Int = maxHeadBytes,
     private val onBytes: () -> Unit = {},
-) : HttpRequestDecoder(accountedDecoderConfig(maxHeadBytes, share::grow)) {
+) : HttpRequestDecoder(accountedDecoderConfig(maxHeadBytes, maxFirstLineBytes, share::grow)) {
     /** The part of a message that the next bytes belong to. */
     private enum class Part { HEAD, BODY, CHUNKED_BODY, TRAILER }
 
@@ -40,6 +42,7 @@
     private var isReleased = false
 
     /** Whether the head of a request has arrived in part. */
+    @Volatile
     var isInHead = false
         private set
 
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/BufferMemorySpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/http/BufferMemorySpec.kt
@@ -1,4 +1,4 @@
-package org.cactuspulley.runtime.forwarding
+package org.cactuspulley.runtime.http
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
@@ -13,6 +13,7 @@
     val share = memory.Share(this)
     var isEvicted = false
     override val lastActive = NOW - silentMillis.milliseconds
+    override val heldBytes: Long get() = share.bytes
 
     init {
         memory.register(this)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/CallerRequestDecoderSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/http/CallerRequestDecoderSpec.kt
@@ -1,4 +1,4 @@
-package org.cactuspulley.runtime.forwarding
+package org.cactuspulley.runtime.http
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeGreaterThan
