End a process whose control thread or event loop has ended

Callers saw: a router that had run out of memory kept its sockets, answered nobody, and did not end on SIGTERM.

Cause: the executor of the control thread keeps an Error of a task to itself, so no timer was set after it; Netty logs the end of an event loop and nothing else; the shutdown hook waits without an end for a stop that the control thread has to complete.

A stop that is not complete five seconds after its deadline ends the process.

--- a/daemon/src/main/kotlin/org/cactuspulley/daemon/RouterCommand.kt
+++ b/daemon/src/main/kotlin/org/cactuspulley/daemon/RouterCommand.kt
@@ -7,10 +7,17 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
 import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.cactuspulley.runtime.control.exitOnUncaughtErrors
 import org.cactuspulley.runtime.instance.Router
 import org.cactuspulley.runtime.logging.configureLogging
+import org.cactuspulley.runtime.settings.StopSettings
 import org.cactuspulley.runtime.settings.loadRouterSettings
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+private val logger = KotlinLogging.logger {}
 
 /** Runs one instance until SIGTERM and a graceful stop. */
 internal class RouterCommand : CliktCommand(name = "router") {
@@ -28,20 +35,31 @@
             throw ProgramResult(ExitStatus.USAGE_ERROR)
         }
         configureLogging(routerSettings.log.logFormat)
+        exitOnUncaughtErrors()
         val router = Router(routerSettings)
         router.start()
         echo("callers: ${router.address}")
-        serveUntilStopped(router)
+        serveUntilStopped(router, routerSettings.stop)
     }
 
-    private fun serveUntilStopped(router: Router) {
+    private fun serveUntilStopped(router: Router, settings: StopSettings) {
         val stopped = CountDownLatch(1)
         val shutdownHook = Thread {
-            router.stop().toCompletableFuture().join()
-            router.close()
+            try {
+                router.stop().toCompletableFuture().get(settings.deadlineMillis + STOP_MARGIN_MILLIS, TimeUnit.MILLISECONDS)
+                router.close()
+            } catch (_: TimeoutException) {
+                logger.error { "the instance does not stop by its deadline; ending the process" }
+                Runtime.getRuntime().halt(ExitStatus.FAILURE)
+            }
             stopped.countDown()
         }
         Runtime.getRuntime().addShutdownHook(shutdownHook)
         stopped.await()
     }
+
+    private companion object {
+        /** What a stop takes after its deadline at most: the last responses are written, and a busy machine is late. */
+        const val STOP_MARGIN_MILLIS = 5_000L
+    }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/control/ControlLoop.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/control/ControlLoop.kt
@@ -50,7 +50,7 @@
     /** Queues [event] for the core; may be called from any thread. Events that are submitted after [close] are dropped. */
     public fun submit(event: CoreEvent) {
         try {
-            scheduler.execute { handle(event) }
+            scheduler.execute { run { handle(event) } }
         } catch (_: RejectedExecutionException) {
             logger.debug { "dropped event after close: ${event::class.simpleName}" }
         }
@@ -62,11 +62,21 @@
      */
     public fun <T> query(read: (MonotonicTime) -> T): CompletionStage<T> = CompletableFuture.supplyAsync({ read(clock.now()) }, scheduler)
 
+    /** Runs [task] on the control thread. The executor would keep an error of it to itself. */
+    private fun run(task: () -> Unit) = try {
+        task()
+    } catch (error: Error) {
+        reportUncaught(error)
+    }
+
     private fun handle(event: CoreEvent) {
         try {
             core.handle(event, clock.now()).forEach(executor::execute)
         } catch (failure: Exception) {
             logger.error(failure) { "failed to handle control event ${event::class.simpleName}" }
+        } catch (failure: StackOverflowError) {
+            // The message of a peer or a caller may cause it, and the next event finds the stack empty.
+            logger.error { "failed to handle control event ${event::class.simpleName}: $failure" }
         }
         scheduleTimer()
     }
@@ -78,7 +88,7 @@
         timerDeadline = deadline
         timer = deadline?.let {
             val delay = (it - clock.now()).inWholeNanoseconds.coerceAtLeast(MIN_TIMER_DELAY_NANOSECONDS)
-            scheduler.schedule(::fireTimer, delay, TimeUnit.NANOSECONDS)
+            scheduler.schedule({ run(::fireTimer) }, delay, TimeUnit.NANOSECONDS)
         }
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/instance/Router.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/instance/Router.kt
@@ -32,6 +32,7 @@
 import org.cactuspulley.core.timeline.TimelineEvent
 import org.cactuspulley.runtime.control.ControlLoop
 import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.control.reportEndedLoops
 import org.cactuspulley.runtime.edge.CallerServer
 import org.cactuspulley.runtime.edge.CallerServerSettings
 import org.cactuspulley.runtime.edge.TlsSettings
@@ -97,6 +98,7 @@
 
     /** Starts the instance; returns when the sockets are bound. */
     public fun start() {
+        eventLoops.reportEndedLoops(closed::get)
         callerServer.start()
         address = settings.listen.advertised ?: "${settings.listen.host}:${callerServer.address.port}"
         val peerAddress = settings.peers.advertised ?: "${settings.peers.host}:${peerTransport.port}"
