Read the bodies of model requests without a tree of their values

It needed no key, as the body is parsed before the key is looked at.

Cause: the body was parsed to a tree, in which each value takes many times its bytes: `1,` about 80.

Change: ModelRequestReader takes the fields that routing needs from a stream of tokens (jackson-core), and PromptSplitter takes the prompt in parts, so that what is held is proportional to the body.

--- a/core/src/main/kotlin/org/cactuspulley/core/routing/PromptChain.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/routing/PromptChain.kt
@@ -31,11 +31,41 @@
 }
 
 /** Splits [text] into pieces of [PIECE_TOKENS] tokens; the last piece may be shorter. */
-public fun splitPrompt(text: String): List<PromptPiece> =
-    text.chunked(PIECE_TOKENS * CHARACTERS_PER_TOKEN) { piece ->
-        val characters = piece.toString()
-        PromptPiece(Hashing.xxh3_64().hashCharsToLong(characters), estimateTokens(characters.length))
+public fun splitPrompt(text: String): List<PromptPiece> = PromptSplitter().apply { append(text) }.pieces()
+
+/** Splits a prompt that is appended in parts into pieces of [PIECE_TOKENS] tokens, and holds no more than one piece of its text. */
+public class PromptSplitter {
+    private val pieces = ArrayList<PromptPiece>()
+    private val characters = CharArray(PIECE_TOKENS * CHARACTERS_PER_TOKEN)
+    private var length = 0
+
+    /** Appends [text] to the prompt. */
+    public fun append(text: String): Unit = append(text.toCharArray(), 0, text.length)
+
+    /** Appends [count] characters of [source] from [offset] on to the prompt. */
+    public fun append(source: CharArray, offset: Int, count: Int) {
+        var position = offset
+        while (position < offset + count) {
+            val copied = minOf(characters.size - length, offset + count - position)
+            source.copyInto(characters, length, position, position + copied)
+            position += copied
+            length += copied
+            if (length == characters.size) endPiece()
+        }
+    }
+
+    /** Returns the pieces of what has been appended; the last piece may be shorter. */
+    public fun pieces(): List<PromptPiece> {
+        if (length > 0) endPiece()
+        return pieces.toList()
+    }
+
+    private fun endPiece() {
+        val text = String(characters, 0, length)
+        pieces += PromptPiece(Hashing.xxh3_64().hashCharsToLong(text), estimateTokens(length))
+        length = 0
     }
+}
 
 /** Returns the estimated number of tokens in a text of [characters] characters, rounded up. */
 public fun estimateTokens(characters: Int): Int = (characters + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN
--- a/daemon/src/test/kotlin/org/cactuspulley/daemon/RouterCrowdSpec.kt
+++ b/daemon/src/test/kotlin/org/cactuspulley/daemon/RouterCrowdSpec.kt
@@ -28,6 +28,27 @@
     "bodies of 300,000 bytes without their ends" to Crowd(300, "${HEAD}Content-Length: 300001\r\n\r\n${"x".repeat(300_000)}"),
 )
 
+/** The size of one body, below the limit of 8 MiB. */
+private const val BODY_BYTES = 8_000_000
+
+private const val LAST_MESSAGE = """{"role":"user","content":"hi"}]}"""
+
+/** Returns a body of [BODY_BYTES] that begins with [start], repeats [unit] and ends with [end]. */
+private fun bodyOf(start: String, unit: String, end: String = LAST_MESSAGE): String {
+    val head = """{"model":"layout-llm",$start"""
+    return head + unit.repeat((BODY_BYTES - head.length - end.length) / unit.length) + end
+}
+
+/** Bodies of legal size whose parts need many times their bytes as objects. */
+private val bodies = mapOf(
+    "an array of numbers" to bodyOf(""""messages":[{"content":""}],"other":[""", "1,"),
+    "an array of objects" to bodyOf(""""messages":[{"content":""}],"other":[""", "{},"),
+    "many messages" to bodyOf(""""messages":[""", """{"content":""},"""),
+    "a content of many parts" to bodyOf(""""messages":[{"content":[""", """{"text":""},"""),
+    "nested arrays" to bodyOf(""""other":""", "["),
+    "one long prompt" to bodyOf(""""messages":[{"content":"""", "word ", """"}]}"""),
+)
+
 class RouterCrowdSpec : DescribeSpec({
     describe("a router as a process with a small heap, to which a crowd of callers sends") {
         // All its threads ended for lack of memory, while the process stayed, answered nobody and did not end on SIGTERM.
@@ -47,6 +68,22 @@
             }
         }
     }
+
+    describe("a router as a process with a small heap, to which one caller sends") {
+        // The body of one request was parsed to a tree of objects, before its key was looked at; the process ended.
+        for ((kind, body) in bodies) {
+            it("a request of 8,000,000 bytes with $kind, stays alive and responds") {
+                RouterProcess().use { router ->
+                    router.connect().use { socket ->
+                        val head = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n"
+                        socket.getOutputStream().write((head + body).toByteArray())
+                        withClue({ router.output }) { socket.getInputStream().read() shouldBe 'H'.code }
+                    }
+                    router.ask() shouldBe RouterProcess.OK
+                }
+            }
+        }
+    }
 })
 
 private fun RouterProcess.endures(crowd: Crowd) {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerRequest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerRequest.kt
@@ -8,15 +8,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.QueryStringDecoder
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.booleanOrNull
-import kotlinx.serialization.json.contentOrNull
-import kotlinx.serialization.json.intOrNull
 import org.cactuspulley.core.model.AdapterName
 import org.cactuspulley.core.model.IdempotencyKey
 import org.cactuspulley.core.model.ModelName
@@ -26,7 +17,6 @@
 import org.cactuspulley.core.platform.TargetHeaders
 import org.cactuspulley.core.requests.RefusalKind
 import org.cactuspulley.core.requests.RequestDescription
-import org.cactuspulley.core.routing.splitPrompt
 import org.cactuspulley.runtime.http.CollectedRequest
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -113,51 +103,16 @@
         request.headers().get(TargetHeaders.REQUEST_ID)?.takeIf(::isValidId) ?: id.text
 
     private fun parseModelRequest(base: RequestDescription, body: ByteArray): RequestDescription? {
-        val json = parseJsonObject(body) ?: return null
-        val model = json.stringField("model") ?: return null
-        val prompt = if (base.path == CHAT_PATH) chatPrompt(json) else json.stringField("prompt")
-        if (prompt == null) return null
-        val requestedMaximum = json["max_completion_tokens"] ?: json["max_tokens"]
-        val maximumOutputTokens = if (requestedMaximum ==
-            null
-        ) {
-            settings.defaultOutputTokens
-        } else {
-            (requestedMaximum as? JsonPrimitive)?.intOrNull
-        }
-        if (maximumOutputTokens == null || maximumOutputTokens < 1) return null
+        val request = ModelRequestReader(isChat = base.path == CHAT_PATH).read(body) ?: return null
         return base.copy(
-            model = ModelName(model),
-            adapter = json.stringField("adapter")?.let(::AdapterName),
-            prompt = splitPrompt(prompt),
-            maximumOutputTokens = maximumOutputTokens,
-            streaming = (json["stream"] as? JsonPrimitive)?.booleanOrNull ?: false,
+            model = ModelName(request.model),
+            adapter = request.adapter?.let(::AdapterName),
+            prompt = request.prompt,
+            maximumOutputTokens = request.maximumOutputTokens ?: settings.defaultOutputTokens,
+            streaming = request.streaming,
         )
     }
 
-    private fun parseJsonObject(body: ByteArray): JsonObject? = try {
-        Json.parseToJsonElement(body.decodeToString(throwOnInvalidSequence = true)) as? JsonObject
-    } catch (_: SerializationException) {
-        null
-    } catch (_: CharacterCodingException) {
-        null
-    }
-
-    private fun chatPrompt(json: JsonObject): String? {
-        val messages = json["messages"] as? JsonArray ?: return null
-        if (messages.isEmpty()) return null
-        val contents = messages.map { (it as? JsonObject)?.get("content")?.let(::contentText) ?: return null }
-        return contents.joinToString("\n")
-    }
-
-    private fun contentText(content: JsonElement): String? = when (content) {
-        is JsonPrimitive -> content.contentOrNull.takeIf { content.isString }
-        is JsonArray -> content.map { (it as? JsonObject)?.stringField("text") }.takeIf { null !in it }?.joinToString("\n")
-        is JsonObject -> null
-    }
-
-    private fun JsonObject.stringField(name: String): String? = (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.content
-
     companion object {
         const val CHAT_PATH = "/v1/chat/completions"
         const val COMPLETIONS_PATH = "/v1/completions"
