Limit the connections of clients by the descriptors of the process

Callers saw: with 400 descriptors, 600 connections that sent nothing, a part of a request or a whole one took all of them. Ordinary requests and queries got no answer while the crowd stayed, and the instance could open no connection to its targets and its store. A router whose classes were not all loaded ended.

Cause: nothing limited the number of connections on the platform's doors. The router's limit of 4,096 did not follow from the process's own limit, and refused new connections in favour of idle ones.

Change: half of the descriptors that are not needed for files are for callers, an eighth is for queries, and the rest is kept for targets, store, peers and files (DescriptorBudget, from /proc/self/limits). A connection beyond that takes the place of the one that has been idle for longest or, if none is idle, of the one whose request arrives most slowly, which is refused as not run. If the requests of all are being served, it is refused itself with 503 (ConnectionLimit, on both doors).

The test "is refused when the connection limit is exceeded" held that an idle connection keeps its place. Two tests replace it: a new connection is refused, as not run, while the other one is being served, whose response is not cut; and it takes the place of an idle one.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestAuthorizer.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/RequestAuthorizer.kt
@@ -28,6 +28,9 @@
     /** The requests that this instance holds leave no memory for another one. */
     NO_MEMORY,
 
+    /** The connections whose requests this instance serves leave no room for another one. */
+    TOO_MANY_CONNECTIONS,
+
     /** The request was sent and may have run, but its deadline passed without a response. */
     NO_ANSWER,
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
@@ -24,10 +24,11 @@
 import org.cactuspulley.core.requests.RefusalKind
 import org.cactuspulley.runtime.http.BufferMemory
 import org.cactuspulley.runtime.http.CallerRequestDecoder
+import org.cactuspulley.runtime.http.ClientConnection
 import org.cactuspulley.runtime.http.CollectedPart
 import org.cactuspulley.runtime.http.CollectedRequest
+import org.cactuspulley.runtime.http.ConnectionLimit
 import org.cactuspulley.runtime.http.InvalidRequest
-import org.cactuspulley.runtime.http.MemoryHolder
 import org.cactuspulley.runtime.http.RequestCollector
 import org.cactuspulley.runtime.http.writeContinueIfExpected
 import java.util.concurrent.CompletionStage
@@ -44,6 +45,9 @@
     /** The memory of the requests of all connections, which are held until they have their responses. */
     val requestMemory: BufferMemory
 
+    /** The limit of the open connections. */
+    val connectionLimit: ConnectionLimit
+
     /** Returns the id of the next request. */
     fun nextRequestId(): RequestId
 
@@ -54,16 +58,20 @@
 /** Serves the requests of one connection sequentially. Pipelined requests wait for the preceding response. */
 internal class CallerConnection(private val server: CallerConnectionContext) :
     ChannelInboundHandlerAdapter(),
-    MemoryHolder {
+    ClientConnection {
     private lateinit var connectionContext: ChannelHandlerContext
     private val memory = server.requestMemory.Share(this)
     private val collector = RequestCollector({ server.settings.maximumBodyBytes }, ::recordMemory)
     private val pipelinedRequests = ArrayDeque<CollectedRequest>()
+
+    @Volatile
     private var activeExchange: CallerExchange? = null
     private var activeRequestId: RequestId? = null
 
     /** The size of the request whose response is outstanding. */
     private var activeBytes = 0L
+
+    @Volatile
     private var respondingLocally = false
 
     @Volatile
@@ -84,8 +92,12 @@
     override var lastActive: MonotonicTime = server.exchangeContext.clock.now()
         private set
     override val isReading: Boolean get() = acceptsInput && (collector.isReading || decoder.isInHead)
+    override val isIdle: Boolean get() = !isReading && !isServing && (closing || !hasUnreadResponse)
     override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
+    /** Whether the caller has not taken the last response yet. */
+    private val hasUnreadResponse: Boolean get() = (connectionContext.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) >
+        0
     private val acceptsInput: Boolean get() = !closing && pendingRefusal == null
 
     /** Whether a request is being served or waits for that. */
@@ -97,6 +109,7 @@
 
     override fun channelActive(context: ChannelHandlerContext) {
         server.requestMemory.register(this)
+        if (!server.connectionLimit.opened(this)) refuseAndClose(context, RefusalKind.TOO_MANY_CONNECTIONS)
         context.fireChannelActive()
     }
 
@@ -275,13 +288,19 @@
         if (hasNext) context.executor().execute { if (!closing && activeExchange == null && !respondingLocally) handleNext(context) }
     }
 
-    override fun evict() {
-        val loop = connectionContext.channel().eventLoop()
-        if (loop.inEventLoop()) refuseForMemory() else loop.execute(::refuseForMemory)
+    override fun evict() = runOnEventLoop { if (isReading) refuseAndClose(connectionContext, RefusalKind.MEMORY_SHORT) }
+
+    override fun closeForRoom() = runOnEventLoop {
+        if (isReading) {
+            refuseAndClose(connectionContext, RefusalKind.TOO_MANY_CONNECTIONS)
+        } else if (isIdle) {
+            connectionContext.close()
+        }
     }
 
-    private fun refuseForMemory() {
-        if (isReading) refuseAndClose(connectionContext, RefusalKind.MEMORY_SHORT)
+    private fun runOnEventLoop(action: () -> Unit) {
+        val loop = connectionContext.channel().eventLoop()
+        if (loop.inEventLoop()) action() else loop.execute(action)
     }
 
     /** Closes the connection if it has no active or waiting request. */
@@ -304,6 +323,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         closing = true
         server.requestMemory.unregister(this)
+        server.connectionLimit.closed(this)
         decoder.release()
         collector.clear()
         pipelinedRequests.clear()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServer.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServer.kt
@@ -21,14 +21,14 @@
 import org.cactuspulley.core.event.CoreEvent
 import org.cactuspulley.core.event.RequestArrived
 import org.cactuspulley.core.model.RequestId
-import org.cactuspulley.core.requests.RefusalKind
 import org.cactuspulley.runtime.control.MonotonicClock
 import org.cactuspulley.runtime.http.BufferMemory
 import org.cactuspulley.runtime.http.CallerResponseEncoder
+import org.cactuspulley.runtime.http.ConnectionLimit
+import org.cactuspulley.runtime.http.DescriptorBudget
 import org.cactuspulley.runtime.upstream.TargetClient
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * Serves callers over HTTP/1.1, optionally with TLS. Request bodies stay on the event loops. The control
@@ -50,7 +50,6 @@
 ) : AutoCloseable {
     private val activeExchanges = ConcurrentHashMap<RequestId, CallerExchange>()
     private val openChannels = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
-    private val connectionCount = AtomicInteger()
     private val tlsContext = settings.tls?.let(::ReloadingTlsContext)
     private var serverChannel: Channel? = null
 
@@ -62,6 +61,8 @@
         override val endpoints: LocalEndpoints get() = localEndpoints
         override val requestParser = CallerRequestParser(settings, wallClockMillis)
         override val settings: CallerServerSettings get() = this@CallerServer.settings
+        override val connectionLimit =
+            ConnectionLimit(minOf(this@CallerServer.settings.maximumConnections, DescriptorBudget.ofProcess().callers))
         override val requestMemory = this@CallerServer.settings.requestMemoryBytes.let { BufferMemory(it, it, clock::now) }
 
         override fun nextRequestId(): RequestId = this@CallerServer.nextRequestId()
@@ -104,14 +105,6 @@
             connection,
         )
         openChannels.add(channel)
-        val count = connectionCount.incrementAndGet()
-        channel.closeFuture().addListener { connectionCount.decrementAndGet() }
-        if (count > settings.maximumConnections) channel.eventLoop().execute { refuseConnection(channel) }
-    }
-
-    private fun refuseConnection(channel: Channel) {
-        val context = channel.pipeline().context(CallerConnection::class.java) ?: return
-        (context.handler() as CallerConnection).refuseAndClose(context, RefusalKind.TOO_MANY_CONNECTIONS)
     }
 
     /** Applies [effect], a decision of the control thread, without blocking. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServerSettings.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerServerSettings.kt
@@ -15,7 +15,7 @@
  * @property maximumHeaderBytes the maximum size of all request headers in bytes.
  * @property maximumRequestLineBytes the maximum size of a request line in bytes.
  * @property requestMemoryBytes the memory of all requests that are held at the same time, in bytes.
- * @property maximumConnections the maximum number of open connections.
+ * @property maximumConnections the maximum number of open connections; the descriptors of the process may permit fewer.
  * @property requestReceiveTimeout the maximum time from the first to the last byte of a request, and from the opening of a connection to
  *     its first byte.
  * @property idleTimeout the maximum time that a connection may be idle between two requests.
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -21,10 +21,10 @@
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.runtime.http.CallerRequestDecoder
+import org.cactuspulley.runtime.http.ClientConnection
 import org.cactuspulley.runtime.http.CollectedPart
 import org.cactuspulley.runtime.http.CollectedRequest
 import org.cactuspulley.runtime.http.InvalidRequest
-import org.cactuspulley.runtime.http.MemoryHolder
 import org.cactuspulley.runtime.http.RequestCollector
 import org.cactuspulley.runtime.http.writeContinueIfExpected
 import kotlin.time.Duration
@@ -36,7 +36,7 @@
     private val protocol: CallerProtocol,
     private val listener: CallerListener,
 ) : ChannelInboundHandlerAdapter(),
-    MemoryHolder {
+    ClientConnection {
     /** A complete request that waits for the response to the request before it. */
     private class PendingRequest(val collected: CollectedRequest, val arrivedAt: MonotonicTime)
 
@@ -67,8 +67,10 @@
 
     override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
-    /** Whether no request is being received and no response is outstanding. */
-    val isIdle: Boolean get() = !isBusy && !isReading && pipelined.isEmpty()
+    /** Whether no request is being received or served; the last response may not have been taken yet. */
+    val hasNoRequest: Boolean get() = !isBusy && !isReading && pipelined.isEmpty()
+
+    override val isIdle: Boolean get() = hasNoRequest && unread.bytes == 0L
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
@@ -76,8 +78,8 @@
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
-        listener.opened(this)
         context.requestMemory.register(this)
+        if (!listener.opened(this)) refuseAndClose(ForwardingRefusal.TOO_MANY_CONNECTIONS)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -162,7 +164,7 @@
             ctx.close()
             return
         }
-        val response = protocol.refusal(refusal, null, RETRY_AFTER_NO_MEMORY.takeIf { refusal == ForwardingRefusal.NO_MEMORY })
+        val response = protocol.refusal(refusal, null, RETRY_DELAY.takeIf { refusal in PASSING_REFUSALS })
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
         ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
@@ -180,6 +182,8 @@
     /** Resets the connection if the caller has read nothing of what it was sent for [limit]. */
     fun closeIfUnread(limit: Duration) = unread.closeIfStalled(limit)
 
+    override fun closeForRoom() = if (isReading) refuseAndClose(ForwardingRefusal.TOO_MANY_CONNECTIONS) else close()
+
     /** Closes the connection, whatever is still to be sent. */
     fun close() {
         ctx.close()
@@ -187,7 +191,7 @@
 
     /** Closes the connection if it is idle, after the last response has been sent. */
     fun closeIfIdle() {
-        if (isIdle && !isClosing) closeAfterWrites()
+        if (hasNoRequest && !isClosing) closeAfterWrites()
     }
 
     private fun closeAfterWrites() {
@@ -280,8 +284,11 @@
         /** How often a request that waits for the first configuration looks for it; a read of it takes several times as long. */
         val CONFIGURATION_POLL_INTERVAL = 20.milliseconds
 
+        /** Refusals for lack of room, of which another instance may have enough. */
+        val PASSING_REFUSALS = setOf(ForwardingRefusal.NO_MEMORY, ForwardingRefusal.TOO_MANY_CONNECTIONS)
+
         /** Another instance may have room immediately. */
-        val RETRY_AFTER_NO_MEMORY = 50.milliseconds
+        val RETRY_DELAY = 50.milliseconds
 
         /** What a caller may leave unread while further requests are started: as many of the largest responses as may be pipelined. */
         const val MAX_UNREAD_BYTES = 8L * 1024 * 1024
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerListener.kt
@@ -7,13 +7,23 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import org.cactuspulley.core.forwarding.CallerLimits
 import org.cactuspulley.runtime.http.CallerResponseEncoder
+import org.cactuspulley.runtime.http.ConnectionLimit
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Accepts caller connections and enforces their timeouts. */
-internal class CallerListener(private val context: ForwardingContext, private val protocol: CallerProtocol) {
+/**
+ * Accepts caller connections and enforces their timeouts.
+ *
+ * @param maxConnections the largest number of connections.
+ */
+internal class CallerListener(
+    private val context: ForwardingContext,
+    private val protocol: CallerProtocol,
+    maxConnections: Int = Int.MAX_VALUE,
+) {
     private val connections = LinkedHashSet<CallerConnectionHandler>()
+    private val limit = ConnectionLimit(maxConnections)
 
     /** Whether the instance is shutting down; each response then closes its connection. */
     val isLeaving: Boolean get() = context.plannedStop != null
@@ -36,23 +46,27 @@
         })
         .bind(address.host, address.port).syncUninterruptibly().channel()
 
-    fun opened(connection: CallerConnectionHandler) {
+    /** Records a new [connection]; returns false if there is no room for it. */
+    fun opened(connection: CallerConnectionHandler): Boolean {
         connections += connection
+        return limit.opened(connection)
     }
 
     fun closed(connection: CallerConnectionHandler) {
         connections -= connection
+        limit.closed(connection)
     }
 
     /** Closes connections that are idle or too slow; a timer calls it. */
     fun sweep() {
         val now = context.clock.now()
+        context.log.excessConnections("callers", limit.drainExcess())
         for (connection in connections.toList()) {
             val inactiveFor = now - connection.lastActive
             connection.closeIfUnread(limits.idleTimeout)
             when {
                 connection.isReading && inactiveFor > limits.headerTimeout -> connection.refuseSlowRequest()
-                connection.isIdle && inactiveFor > limits.idleTimeout + IDLE_MARGIN -> connection.close()
+                connection.hasNoRequest && inactiveFor > limits.idleTimeout + IDLE_MARGIN -> connection.close()
             }
         }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -151,6 +151,13 @@
         event("zone_share", "pool" to change.flow.pool.text, "route" to change.flow.route.text, "share" to change.share)
     }
 
+    /** Records that [count] new connections of [clients] exceeded the limit since the last call, each of which took the place of another. */
+    fun excessConnections(clients: String, count: Int) {
+        if (count == 0) return
+        metrics.excessConnections(clients, count)
+        event("connection_limit_exceeded", "clients" to clients, "connections" to count)
+    }
+
     /** Counts a request that is sent to a target of [pool] in [zone]. */
     fun sent(pool: PoolName, zone: ZoneName) = metrics.sent(pool.text, zone.text)
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -24,6 +24,7 @@
 import org.cactuspulley.core.model.ZoneName
 import org.cactuspulley.core.rollout.ReleaseController
 import org.cactuspulley.runtime.control.MonotonicClock
+import org.cactuspulley.runtime.http.DescriptorBudget
 import org.cactuspulley.runtime.metrics.RouterMetrics
 import org.cactuspulley.runtime.platform.HostAndPort
 import org.cactuspulley.runtime.settings.ForwardingSettings
@@ -93,7 +94,8 @@
         sendToAll = { digests.sendToAll() },
         requestMemoryBytes = requestMemoryBytes,
     )
-    private val listener = CallerListener(context, ports.callers)
+    private val descriptors = DescriptorBudget.ofProcess()
+    private val listener = CallerListener(context, ports.callers, descriptors.callers)
     private val rolloutSettings = RolloutSettings(
         lease = settings.bounds.leaseMillis.milliseconds,
         startLimit = settings.bounds.startLimitMillis.milliseconds,
@@ -101,7 +103,7 @@
 
     /** The right to issue orders to targets and to decide on releases. */
     private val lease = OrderLease(self.id, state.fleet, rolloutSettings)
-    private val queries = QueryListener(context, ::respondToQuery)
+    private val queries = QueryListener(context, descriptors.queries, ::respondToQuery)
     private val rollout = WeightRollout(
         self.id,
         state.directory,
@@ -170,6 +172,7 @@
         ports.store.observeEras(context.storeEra::recordAnswer)
         loop.execute {
             log.event("started", "zone" to settings.instance.zone, "callers" to settings.listen.callers, "incarnation" to incarnation)
+            log.event("connections_limited", "callers" to descriptors.callers, "queries" to descriptors.queries)
             registry.read()
             operations.read()
             announce()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -29,6 +29,8 @@
         .register(registry)
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
 
+    private val excessConnections =
+        counter("cactuspulley_excess_connections_total", "Connections of clients that took the place of others", "clients")
     private val sent = counter("cactuspulley_sent_requests_total", "Requests sent to targets", "pool", "zone")
     private val zoneShares = Gauge.builder().name("cactuspulley_zone_share")
         .help("The share of a route's requests to a pool that leave the instance's zone").labelNames("pool", "route").register(registry)
@@ -64,6 +66,9 @@
 
     fun loopDelay(delay: Duration) = loopDelays.observe(delay.toDouble(DurationUnit.SECONDS))
 
+    /** Counts [count] connections of [clients] beyond the limit. */
+    fun excessConnections(clients: String, count: Int) = excessConnections.labelValues(clients).inc(count.toLong())
+
     fun refused(cause: String) = refusals.labelValues(cause).inc()
 
     fun attemptFailed(cause: String) = failedAttempts.labelValues(cause).inc()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/QueryListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/QueryListener.kt
@@ -20,15 +20,25 @@
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.runtime.http.CallerRequestDecoder
 import org.cactuspulley.runtime.http.CallerResponseEncoder
-import org.cactuspulley.runtime.http.MemoryHolder
+import org.cactuspulley.runtime.http.ClientConnection
+import org.cactuspulley.runtime.http.ConnectionLimit
 import org.cactuspulley.runtime.http.heldBytes
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Accepts queries to the instance itself and responds to each with one complete message. */
-internal class QueryListener(private val context: ForwardingContext, private val respond: (HttpRequest) -> FullHttpResponse) {
+/**
+ * Accepts queries to the instance itself and responds to each with one complete message.
+ *
+ * @param maxConnections the largest number of connections.
+ */
+internal class QueryListener(
+    private val context: ForwardingContext,
+    maxConnections: Int = Int.MAX_VALUE,
+    private val respond: (HttpRequest) -> FullHttpResponse,
+) {
     private val connections = LinkedHashSet<QueryHandler>()
+    private val limit = ConnectionLimit(maxConnections)
 
     /** Binds a listening socket to [address]. */
     fun bind(address: HostAndPort): Channel = ServerBootstrap()
@@ -46,13 +56,14 @@
     /** Closes connections that are idle, or on which a query takes too long; a timer calls it. */
     fun sweep() {
         val now = context.clock.now()
+        context.log.excessConnections("queries", limit.drainExcess())
         connections.toList().forEach { it.closeIfSlow(now) }
     }
 
     /** Handles one connection. Bodies of queries are skipped. */
     private inner class QueryHandler :
         ChannelInboundHandlerAdapter(),
-        MemoryHolder {
+        ClientConnection {
         private lateinit var ctx: ChannelHandlerContext
         private val memory = context.requestMemory.Share(this)
         val decoder = CallerRequestDecoder(MAX_HEAD_BYTES, context.requestMemory.Share(this)) { recordArrival() }
@@ -65,6 +76,7 @@
         override var lastActive: MonotonicTime = context.clock.now()
             private set
         override val isReading: Boolean get() = query != null || decoder.isInHead
+        override val isIdle: Boolean get() = !isReading
         override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
         private fun recordArrival() {
@@ -79,10 +91,12 @@
         override fun channelActive(ctx: ChannelHandlerContext) {
             connections += this
             context.requestMemory.register(this)
+            if (!limit.opened(this)) ctx.close()
         }
 
         override fun channelInactive(ctx: ChannelHandlerContext) {
             connections -= this
+            limit.closed(this)
             context.requestMemory.unregister(this)
             decoder.release()
             memory.resize(0)
@@ -94,6 +108,8 @@
             ctx.close()
         }
 
+        override fun closeForRoom() = evict()
+
         fun closeIfSlow(now: MonotonicTime) {
             val isSlow = startedAt?.let { isReading && now - it > QUERY_TIMEOUT } ?: false
             if (isSlow || now - lastActive > IDLE_TIMEOUT) ctx.close()
