Keep the address for peers open to instances beside a crowd

Other instances saw: 64 connections that send nothing kept every handshake out until they timed out, and a lack of descriptors ended the coroutine that accepts connections, so that no instance could connect any more.

Cause: a connection beyond 64 pending handshakes was refused in favour of the silent ones; an exception of accept() left the loop.

Change: a new connection takes the place of the oldest pending handshake; a failure to accept is logged, and accepting goes on after half a second.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/peer/PeerTransport.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/peer/PeerTransport.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -27,9 +28,11 @@
 import org.cactuspulley.core.model.InstanceId
 import org.cactuspulley.runtime.control.EffectExecutor
 import org.cactuspulley.runtime.platform.HostAndPort
+import java.io.IOException
 import java.security.MessageDigest
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
@@ -49,7 +52,9 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val server: ServerSocket = runBlocking { aSocket(selector).tcp().bind(listen.host, listen.port) { reuseAddress = true } }
     private val links = ConcurrentHashMap<InstanceId, PeerLink>()
-    private val pendingHandshakes = AtomicInteger()
+
+    /** The accepted connections whose handshakes are not complete, the oldest first. */
+    private val pendingHandshakes = ConcurrentLinkedDeque<Socket>()
 
     /** The traffic counters of this transport. */
     public val counters: PeerCounters = PeerCounters()
@@ -90,17 +95,23 @@
 
     private suspend fun acceptConnections() {
         while (scope.isActive) {
-            val socket = server.accept()
-            if (pendingHandshakes.incrementAndGet() > MAX_PENDING_HANDSHAKES) {
-                pendingHandshakes.decrementAndGet()
-                counters.rejectedConnections.increment()
-                socket.close()
-            } else {
-                scope.launch { serve(socket) }
-            }
+            val socket = accept() ?: continue
+            pendingHandshakes.addLast(socket)
+            // A crowd that stays silent must not keep peers out.
+            if (pendingHandshakes.size > MAX_PENDING_HANDSHAKES) pendingHandshakes.pollFirst()?.close()
+            scope.launch { serve(socket) }
         }
     }
 
+    /** Accepts a connection; returns null after a failure, such as a lack of descriptors, which passes. */
+    private suspend fun accept(): Socket? = try {
+        server.accept()
+    } catch (failure: IOException) {
+        logger.warn { "failed to accept a peer connection: ${failure.message}" }
+        delay(ACCEPT_RETRY_DELAY)
+        null
+    }
+
     private suspend fun serve(socket: Socket) {
         socket.use {
             val input = socket.openReadChannel()
@@ -111,7 +122,7 @@
                 logger.debug { "rejected peer connection: ${failure.message}" }
                 return
             } finally {
-                pendingHandshakes.decrementAndGet()
+                pendingHandshakes.remove(socket)
             }
             receive(session, input)
         }
@@ -120,7 +131,7 @@
     private suspend fun receive(session: PeerSession, input: ByteReadChannel) {
         try {
             while (true) {
-                val frame = readFrame(input, MAX_FRAME_BYTES)
+                val frame = readFrame(input, MAX_RECEIVED_FRAME_BYTES)
                 val payload = authenticate(frame, session)
                 counters.received.increment()
                 counters.receivedBytes.add(frame.size.toLong())
@@ -162,8 +173,11 @@
     private companion object {
         const val MAX_PENDING_HANDSHAKES = 64
         val HANDSHAKE_TIMEOUT = 2.seconds
+
+        /** Bounds the log lines while connections cannot be accepted. */
+        val ACCEPT_RETRY_DELAY = 500.milliseconds
     }
 }
 
-/** The maximum size of a frame between instances, in bytes. */
-internal const val MAX_FRAME_BYTES: Int = 64 * 1024 * 1024
+/** The maximum size in bytes of a frame from another instance, which is held as a whole: an eighth of the heap, 64 MiB at most. */
+internal val MAX_RECEIVED_FRAME_BYTES: Int = (Runtime.getRuntime().maxMemory() / 8).coerceAtMost(64L * 1024 * 1024).toInt()
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/peer/PeerTransportSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/peer/PeerTransportSpec.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import org.cactuspulley.core.effect.SendToPeer
 import org.cactuspulley.core.effect.UpdatePeerAddresses
 import org.cactuspulley.core.event.CoreEvent
@@ -14,6 +15,9 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
+/** The number of handshakes that may be pending. */
+private const val PENDING_HANDSHAKES = 64
+
 class PeerTransportSpec : DescribeSpec({
     val message = WithdrawalsSpread(setOf(KeyDigest("ab")))
 
@@ -45,6 +49,21 @@
         }
     }
 
+    describe("a connection beyond the number of handshakes that may be pending") {
+        // A crowd of silent connections kept other instances out until their handshakes timed out.
+        it("takes the place of the oldest one") {
+            Endpoint("b", SECRET).use { b ->
+                val silent = List(PENDING_HANDSHAKES) { Socket("127.0.0.1", b.transport.port) }
+                try {
+                    silent.forEach { it.getInputStream().read() shouldNotBe -1 }
+                    Socket("127.0.0.1", b.transport.port).use { it.getInputStream().read() shouldNotBe -1 }
+                } finally {
+                    silent.forEach { it.close() }
+                }
+            }
+        }
+    }
+
     describe("a connection that fails the handshake") {
         it("is rejected by the accepting side if the secrets differ") {
             Endpoint("a", "another secret of 16").use { a ->
