Bound what the system takes of a request before its target reads it

Callers saw: a 200 without a length that a target ends in order while an upload of 3 MB is under way, and so without the rest of the body, arrived as a whole response, in 20 of 20 requests.

Cause: such a response is rejected if the request has not been written whole. A request counts as written when the system has taken it, and the system's send buffer grows to megabytes (4 MB here) while the target reads nothing, so an upload of 3 MB counted as written at once.

Change: connections to targets have a send buffer of 64 KB. What remains: of a request that fits into that and the target's receive buffer nobody can tell here whether the target has read it (docs/design/message-memory.md).

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TargetResponseHandler.kt
@@ -32,7 +32,7 @@
 
 /** Receives the response to one send attempt; called on the event loop. */
 internal interface TargetResponseListener {
-    /** Whether the request has been written whole. */
+    /** Whether the system has taken the request whole; the target may not have read its last part yet. */
     val isRequestWritten: Boolean get() = true
 
     /** Called with the head of a response; returns which request it belongs to. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/TcpTargetConnector.kt
@@ -34,6 +34,7 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
@@ -65,6 +66,13 @@
         /** A hundred times the highest latency between zones; a target that does not accept within it is unresponsive. */
         val CONNECT_TIMEOUT = 300.milliseconds
 
+        /**
+         * The size of the system's send buffer, which otherwise grows to megabytes. A request counts as written once the system has taken
+         * it, so this bounds what of it the target's system may not have received by then. It holds all of an ordinary request, and
+         * allows 40 MB a second between zones.
+         */
+        const val SEND_BUFFER_BYTES = 64 * 1024
+
         /** The time in seconds without data before the first keep-alive probe, and between probes: the shortest that TCP permits. */
         const val KEEPALIVE_SECONDS = 1
 
