Answer a request that is being served before the one after it is refused

Callers saw: on the platform's door a request that was being served was cut, without a response, if the next request on its connection was malformed, came too slowly, or was refused for lack of memory. It may have run.

Cause: the refusal of the second request closed the connection at once, since a refusal would have been taken for the response to the first.

Change: the refusal waits for the responses to the earlier requests, as on the router's door. What the refused request holds is released at once. A connection whose request is being served is not closed to make room for another one (ConnectionLimitSpec).

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
@@ -100,8 +100,7 @@
         0
     private val acceptsInput: Boolean get() = !closing && pendingRefusal == null
 
-    /** Whether a request is being served or waits for that. */
-    private val isServing: Boolean get() = activeExchange != null || respondingLocally || pipelinedRequests.isNotEmpty()
+    override val isServing: Boolean get() = activeExchange != null || respondingLocally || pipelinedRequests.isNotEmpty()
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         connectionContext = context
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -58,17 +58,23 @@
     private var isFirstRequest = true
     private var isClosing = false
 
+    /** Why the request after the ones that are being served is refused; null if it is not. */
+    private var pendingRefusal: ForwardingRefusal? = null
+
     /** The time at which the last bytes arrived or the last response ended. */
     override var lastActive: MonotonicTime = context.clock.now()
         private set
 
     /** Whether a request has been received in part. */
-    override val isReading: Boolean get() = !isClosing && (collector.isReading || decoder.isInHead)
+    override val isReading: Boolean get() = acceptsInput && (collector.isReading || decoder.isInHead)
 
     override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
     /** Whether no request is being received or served; the last response may not have been taken yet. */
-    val hasNoRequest: Boolean get() = !isBusy && !isReading && pipelined.isEmpty()
+    val hasNoRequest: Boolean get() = !isServing && !isReading
+
+    override val isServing: Boolean get() = isBusy || pipelined.isNotEmpty()
+    private val acceptsInput: Boolean get() = !isClosing && pendingRefusal == null
 
     override val isIdle: Boolean get() = hasNoRequest && unread.bytes == 0L
 
@@ -95,7 +101,7 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         try {
-            if (message is HttpObject && !isClosing) read(message)
+            if (message is HttpObject && acceptsInput) read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -117,9 +123,9 @@
     }
 
     private fun enqueue(request: CollectedRequest) {
+        if (pipelined.size >= MAX_PIPELINED) return refuseAndClose(ForwardingRefusal.MALFORMED)
         pipelined.addLast(PendingRequest(request, lastActive))
         recordMemory()
-        if (pipelined.size > MAX_PIPELINED) return refuseAndClose(ForwardingRefusal.MALFORMED)
         // The caller may have closed the connection already without the close having been read: after a delay of the event loop, and if
         // the connection waited to be accepted, as many do after a start.
         val mayBeClosed = isFirstRequest || context.loopDelay.isDelayed(lastActive)
@@ -154,16 +160,17 @@
         started.start()
     }
 
+    /** Refuses the request that arrives, after the responses to earlier requests, and closes the connection. */
     private fun refuseAndClose(refusal: ForwardingRefusal) {
-        isClosing = true
+        if (isClosing) return
         collector.clear()
         decoder.release()
         recordMemory()
-        // The caller would take the refusal for the response to an earlier request.
-        if (isBusy || pipelined.isNotEmpty()) {
-            ctx.close()
+        if (isServing) {
+            pendingRefusal = pendingRefusal ?: refusal
             return
         }
+        isClosing = true
         val response = protocol.refusal(refusal, null, RETRY_DELAY.takeIf { refusal in PASSING_REFUSALS })
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
@@ -217,11 +224,12 @@
         runningBytes = 0L
         recordMemory()
         lastActive = context.clock.now()
-        if (closesConnection || isClosing) {
-            closeAfterWrites()
-            return
+        val refusal = pendingRefusal
+        when {
+            closesConnection || isClosing -> closeAfterWrites()
+            refusal != null && pipelined.isEmpty() -> refuseAndClose(refusal)
+            else -> startNext()
         }
-        startNext()
     }
 
     /** Writes the response to one request to this connection. */
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/QueryListener.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/QueryListener.kt
@@ -77,6 +77,7 @@
             private set
         override val isReading: Boolean get() = query != null || decoder.isInHead
         override val isIdle: Boolean get() = !isReading
+        override val isServing: Boolean get() = false
         override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
         private fun recordArrival() {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/http/ConnectionLimit.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/http/ConnectionLimit.kt
@@ -8,6 +8,9 @@
     /** Whether no request is being received or served and no response is outstanding. */
     val isIdle: Boolean
 
+    /** Whether a request is being served or waits for that. */
+    val isServing: Boolean
+
     /** Closes the connection to make room for another one. A request that has arrived in part is refused as not run. */
     fun closeForRoom()
 }
@@ -34,7 +37,9 @@
         // One that is closed on another event loop counts until then, and is chosen again.
         val closed = hashSetOf(connection)
         repeat(excess) {
-            val next = longestSilent { it !in closed && it.isIdle } ?: longestSilent { it !in closed && it.isReading } ?: return false
+            val next =
+                longestSilent { it !in closed && it.isIdle } ?: longestSilent { it !in closed && it.isReading && !it.isServing }
+                    ?: return false
             closed += next
             next.closeForRoom()
         }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/http/ConnectionLimitSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/http/ConnectionLimitSpec.kt
@@ -13,6 +13,7 @@
     silentSince: Int,
     override var isIdle: Boolean = true,
     override val isReading: Boolean = false,
+    override val isServing: Boolean = false,
 ) : ClientConnection {
     var isClosed = false
     override val lastActive = START + silentSince.seconds
@@ -57,7 +58,10 @@
         // A request that may run must not be cut.
         it("is refused if the requests of all others are being served") {
             val limit = ConnectionLimit(2)
-            val connections = List(2) { Connection(limit, it, isIdle = false) }
+            val connections = listOf(
+                Connection(limit, 1, isIdle = false, isServing = true),
+                Connection(limit, 2, isIdle = false, isReading = true, isServing = true),
+            )
             Connection(limit, 3).isAccepted shouldBe false
             connections.closed() shouldBe listOf(false, false)
         }
