Do not answer queries of a caller that does not read the responses

Callers saw: nothing yet. A caller that sends queries to a router's own endpoints and reads nothing makes it hold all the responses, which no limit covers.

Cause: the requests of a connection were handled one after the other whether or not it took the responses. Reading from targets is paused for such a caller, the instance's own responses were written.

Change: the next request of a connection is handled when the connection can be written to.

--- a/daemon/src/test/kotlin/org/cactuspulley/daemon/RouterCrowdSpec.kt
+++ b/daemon/src/test/kotlin/org/cactuspulley/daemon/RouterCrowdSpec.kt
@@ -17,14 +17,19 @@
 private const val HEAD = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n"
 private val shortLines = "a:\r\n".repeat(LINES_BYTES / 4)
 
-/** Callers that each send one message, keep their connections and send nothing more. */
-private class Crowd(val connections: Int, val message: String)
+/** Callers that each send one message [rounds] times, keep their connections, send nothing more and read nothing. */
+private class Crowd(val connections: Int, val message: String, val rounds: Int = 1)
 
 private val crowds = mapOf(
     "many short lines in the head, with a body that stays away" to Crowd(300, "$HEAD${shortLines}Content-Length: 9\r\n\r\n"),
     "many short lines in the trailer of a chunked body" to
         Crowd(300, "${HEAD}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n$shortLines"),
     "many folded lines" to Crowd(1_200, "${HEAD}a:\r\n${" a\r\n".repeat(LINES_BYTES / 4)}Content-Length: 9\r\n\r\n"),
+    "queries, eight at a time, whose responses stay unread" to Crowd(
+        100,
+        "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n".repeat(8),
+        rounds = 40,
+    ),
     "bodies of 300,000 bytes without their ends" to Crowd(300, "${HEAD}Content-Length: 300001\r\n\r\n${"x".repeat(300_000)}"),
 )
 
@@ -86,6 +91,15 @@
     }
 })
 
+/** Sends [message]; returns false if the connection has been closed. */
+private fun Socket.sends(message: ByteArray): Boolean = try {
+    getOutputStream().write(message)
+    true
+} catch (_: IOException) {
+    close()
+    false
+}
+
 private fun RouterProcess.endures(crowd: Crowd) {
     val message = crowd.message.toByteArray()
     val sockets = ArrayList<Socket>()
@@ -98,6 +112,7 @@
                 return@repeat
             }
         }
+        repeat(crowd.rounds - 1) { sockets.removeAll { !it.sends(message) } }
         val answer = ask()
         Thread.sleep(SETTLE_MILLIS)
         withClue({ "after ${sockets.size} connections, answer: $answer, output:\n$output" }) {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
@@ -96,8 +96,8 @@
     override val heldBytes: Long get() = memory.bytes + decoder.heldBytes
 
     /** Whether the caller has not taken the last response yet. */
-    private val hasUnreadResponse: Boolean get() = (connectionContext.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) >
-        0
+    private val hasUnreadResponse: Boolean
+        get() = (connectionContext.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
     private val acceptsInput: Boolean get() = !closing && pendingRefusal == null
 
     override val isServing: Boolean get() = activeExchange != null || respondingLocally || pipelinedRequests.isNotEmpty()
@@ -141,11 +141,13 @@
             return
         }
         pipelinedRequests.addLast(request)
-        if (activeExchange == null && !respondingLocally) handleNext(context)
         recordMemory()
+        handleNext(context)
     }
 
+    /** Handles the next request, unless one is being served, or the caller does not read its responses, which would accumulate. */
     private fun handleNext(context: ChannelHandlerContext) {
+        if (closing || activeExchange != null || respondingLocally || !context.channel().isWritable) return
         val request = pipelinedRequests.removeFirstOrNull() ?: return
         activeBytes = request.heldBytes
         recordMemory()
@@ -284,7 +286,7 @@
         val refusal = pendingRefusal
         if (!hasNext && refusal != null) return refuseAndClose(context, refusal)
         context.pipeline().get(RequestTimeoutHandler::class.java)?.onResponseEnd(context, nextRequestPending = hasNext)
-        if (hasNext) context.executor().execute { if (!closing && activeExchange == null && !respondingLocally) handleNext(context) }
+        if (hasNext) context.executor().execute { handleNext(context) }
     }
 
     override fun evict() = runOnEventLoop { if (isReading) refuseAndClose(connectionContext, RefusalKind.MEMORY_SHORT) }
@@ -317,6 +319,7 @@
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         activeExchange?.onWritabilityChanged()
+        handleNext(context)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/CallerServerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/CallerServerSpec.kt
@@ -184,6 +184,21 @@
         }
     }
 
+    describe("responses that the caller does not read") {
+        // The instance's own responses to the requests of a connection accumulated without limit.
+        it("keep its further queries from being answered") {
+            withRouter(streamingEngine(1)) { router, _ ->
+                RawCaller(router.port, receiveBufferBytes = 16_384).use { caller ->
+                    repeat(8) { caller.sendRequest("GET", "/metrics") }
+                    val stalledAt = generateSequence { router.metricsQueries.get().also { TimeUnit.MILLISECONDS.sleep(500) } }
+                        .zipWithNext().first { (before, after) -> before > 0 && before == after }.first
+                    stalledAt shouldBeLessThan 4
+                    repeat(8) { caller.readResponse().body.length shouldBe METRICS_BYTES }
+                }
+            }
+        }
+    }
+
     describe("KV cache blocks held by another target") {
         val scope = Base64.getEncoder().encodeToString("scope".toByteArray())
 
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/TestRouter.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/TestRouter.kt
@@ -62,6 +62,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -122,7 +123,10 @@
     override fun handle(event: CoreEvent, now: MonotonicTime) = emptyList<CoreEffect>()
 }
 
-private object TestEndpoints : LocalEndpoints {
+/** The size of the metrics, larger than what the system buffers of a response that is not read. */
+internal const val METRICS_BYTES = 6_000_000
+
+private class TestEndpoints(private val metricsQueries: AtomicInteger) : LocalEndpoints {
     private val response = CompletableFuture.completedFuture(LocalResponse(200, "{}".toByteArray()))
 
     override fun entry(query: EntryQuery) = response
@@ -133,7 +137,10 @@
 
     override fun readiness() = response
 
-    override fun metrics() = response
+    override fun metrics(): CompletableFuture<LocalResponse> {
+        metricsQueries.incrementAndGet()
+        return CompletableFuture.completedFuture(LocalResponse(200, ByteArray(METRICS_BYTES) { 'x'.code.toByte() }))
+    }
 
     override fun operator(request: OperatorRequest) = response
 }
@@ -152,6 +159,9 @@
     private val log = ConcurrentHashMap<StreamName, CopyOnWriteArrayList<StoredRecord>>()
     private val requestNumbers = AtomicLong()
 
+    /** The queries for metrics that have been answered. */
+    val metricsQueries = AtomicInteger()
+
     /** Events in the order in which they were submitted to the control thread. */
     val events = LinkedBlockingQueue<CoreEvent>()
 
@@ -173,7 +183,7 @@
     val server = CallerServer(
         settings,
         eventLoops,
-        TestEndpoints,
+        TestEndpoints(metricsQueries),
         TargetClient(),
         ::submit,
         { RequestId("request-${requestNumbers.incrementAndGet()}") },
