Shorten the texts of callers in the decision log

Cause of memory that no account held: lines wait in a queue of 2,048 while the output is slow, and each may carry an id and a path of 16 KB that a caller chose, 32 MB and more of a heap of 96 MB.

Evidence: DecisionLogSpec; a line held 16,014 characters before. Not tried with a process whose output is blocked.

Change: a text of more than 512 characters is cut in log lines.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -188,7 +188,16 @@
     private fun write(event: String, vararg details: Pair<String, Any?>) {
         logger.at(Level.INFO) {
             message = event
-            payload = details.filter { it.second != null }.toMap()
+            payload = details.filter { it.second != null }.associate { (name, value) -> name to shortened(value) }
         }
     }
+
+    /** Callers choose ids and paths, and lines wait in a queue while the output is slow. */
+    private fun shortened(value: Any?): Any? =
+        if (value is String && value.length > MAX_TEXT_CHARACTERS) value.take(MAX_TEXT_CHARACTERS) + "..." else value
+
+    private companion object {
+        /** Longer than the ids and paths of ordinary requests. */
+        const val MAX_TEXT_CHARACTERS = 512
+    }
 }
