Refuse names of models that no model has

A request's model and adapter are held until its response, beside the body that they were read from, so a name as long as the body doubled what the request holds. A name of more than 1,024 characters is refused as malformed (ModelRequestReaderSpec).

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/ModelRequestReader.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/ModelRequestReader.kt
@@ -54,8 +54,8 @@
 
     private fun readField(parser: JsonParser, name: String, fields: Fields) {
         when (name) {
-            "model" -> fields.model = parser.stringOrNull()
-            "adapter" -> fields.adapter = parser.stringOrNull()
+            "model" -> fields.model = readName(parser)
+            "adapter" -> fields.adapter = readName(parser)
             "messages" -> if (isChat) fields.prompt = readMessages(parser) else parser.skipChildren()
             "prompt" -> if (isChat) parser.skipChildren() else fields.prompt = readPrompt(parser)
             "max_completion_tokens" -> fields.maxCompletionTokens = readOutputTokens(parser)
@@ -65,6 +65,13 @@
         }
     }
 
+    /** Returns a name, which is held until the response; null if the value is none. */
+    private fun readName(parser: JsonParser): String? {
+        val name = parser.stringOrNull()
+        if (name != null && name.length > MAX_NAME_CHARACTERS) throw MalformedModelRequestException()
+        return name
+    }
+
     private fun readPrompt(parser: JsonParser): List<PromptPiece> = PromptSplitter().also { parser.appendStringTo(it) }.pieces()
 
     private fun readMessages(parser: JsonParser): List<PromptPiece> {
@@ -130,6 +137,9 @@
     }
 
     private companion object {
+        /** Longer than the name of any model or adapter. */
+        const val MAX_NAME_CHARACTERS = 1_024
+
         /** Names of fields are not kept: callers choose them. The size of a body limits its strings. */
         val JSON: JsonFactory = JsonFactory.builder()
             .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/ModelRequestReaderSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/ModelRequestReaderSpec.kt
@@ -61,6 +61,13 @@
             }
         }
 
+        // The name is held until the response, beside the body.
+        it("is refused if its model has a name of more than 1,024 characters") {
+            fun withModel(length: Int) = readChat("""{"model":"${"m".repeat(length)}","messages":[{"content":"x"}]}""")
+            withModel(1_024)?.model shouldBe "m".repeat(1_024)
+            withModel(1_025) shouldBe null
+        }
+
         it("is refused in another encoding than UTF-8, in which the search for the key would miss it") {
             val body = """{"model":"m","messages":[{"content":"x"}]}"""
             ModelRequestReader(isChat = true).read(body.toByteArray(Charsets.UTF_16BE)) shouldBe null
