--- a/daemon/src/test/kotlin/org/cactuspulley/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/org/cactuspulley/daemon/RouterProcess.kt
@@ -84,9 +84,9 @@
         soTimeout = SOCKET_TIMEOUT_MILLIS
     }
 
-    /** Sends an ordinary request, and again while it is refused, as callers do; returns the status of the last response or its failure. */
+    /** Sends an ordinary request, and again while it is refused, as callers do; returns the last status or failure. */
     fun ask(): String = untilAnswered {
-        val body = """{"model":"layout-llm","max_tokens":4,"messages":[{"role":"user","content":"Is 9 inch spacing right near the wall?"}]}"""
+        val body = """{"model":"layout-llm","max_tokens":4,"messages":[{"role":"user","content":"Is 9 inch right near the wall?"}]}"""
         "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer $key\r\nContent-Type: application/json\r\n" +
             "Content-Length: ${body.length}\r\n\r\n$body"
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
@@ -100,7 +100,10 @@
         get() = (connectionContext.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
     private val acceptsInput: Boolean get() = !closing && pendingRefusal == null
 
-    override val isServing: Boolean get() = activeExchange != null || respondingLocally || pipelinedRequests.isNotEmpty()
+    /** Whether a response is outstanding. */
+    private val isResponding: Boolean get() = activeExchange != null || respondingLocally
+
+    override val isServing: Boolean get() = isResponding || pipelinedRequests.isNotEmpty()
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         connectionContext = context
@@ -147,7 +150,7 @@
 
     /** Handles the next request, unless one is being served, or the caller does not read its responses, which would accumulate. */
     private fun handleNext(context: ChannelHandlerContext) {
-        if (closing || activeExchange != null || respondingLocally || !context.channel().isWritable) return
+        if (closing || isResponding || !context.channel().isWritable) return
         val request = pipelinedRequests.removeFirstOrNull() ?: return
         activeBytes = request.heldBytes
         recordMemory()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -151,7 +151,7 @@
         event("zone_share", "pool" to change.flow.pool.text, "route" to change.flow.route.text, "share" to change.share)
     }
 
-    /** Records that [count] new connections of [clients] exceeded the limit since the last call, each of which took the place of another. */
+    /** Records that [count] new connections of [clients] exceeded the limit since the last call. */
     fun excessConnections(clients: String, count: Int) {
         if (count == 0) return
         metrics.excessConnections(clients, count)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingMetrics.kt
@@ -30,7 +30,7 @@
     private val events = counter("cactuspulley_beliefs_total", "Changes of what the instance believes", "event")
 
     private val excessConnections =
-        counter("cactuspulley_excess_connections_total", "Connections of clients that took the place of others", "clients")
+        counter("cactuspulley_excess_connections_total", "Connections of clients that exceeded the limit", "clients")
     private val sent = counter("cactuspulley_sent_requests_total", "Requests sent to targets", "pool", "zone")
     private val zoneShares = Gauge.builder().name("cactuspulley_zone_share")
         .help("The share of a route's requests to a pool that leave the instance's zone").labelNames("pool", "route").register(registry)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/ModelRequestReaderSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/ModelRequestReaderSpec.kt
@@ -14,7 +14,8 @@
     describe("a chat request") {
         it("has the contents of its messages as the prompt, and its other fields") {
             val request = readChat(
-                """{"stream":true,"messages":[{"role":"system","content":"one"},{"content":[{"type":"text","text":"two"},{"text":"three"}]}],""" +
+                """{"stream":true,"messages":[{"role":"system","content":"one"},""" +
+                    """{"content":[{"type":"text","text":"two"},{"text":"three"}]}],""" +
                     """"other":{"model":"no","list":[1,{"a":[]}]},"model":"m","adapter":"a","max_tokens":7}""",
             )
             request shouldBe ModelRequest("m", "a", promptOf("one\ntwo\nthree"), 7, true)
@@ -52,7 +53,8 @@
             """{"model":"m","messages":[{}]}""", """{"model":"m","messages":[{"content":null}]}""",
             """{"model":"m","messages":[{"content":{"text":"x"}}]}""", """{"model":"m","messages":[{"content":["x"]}]}""",
             """{"model":"m","messages":[{"content":[{"text":1}]}]}""", """{"model":"m","max_tokens":0,"messages":[{"content":"x"}]}""",
-            """{"model":"m","max_tokens":"many","messages":[{"content":"x"}]}""", """{"model":"m","max_tokens":{},"messages":[{"content":"x"}]}""",
+            """{"model":"m","max_tokens":"many","messages":[{"content":"x"}]}""",
+            """{"model":"m","max_tokens":{},"messages":[{"content":"x"}]}""",
             """{"model":"m","messages":[{"content":"x"}]} {}""",
         )
         for (body in invalid) {
