Close connections of callers that are idle after a response

Callers saw: a router kept every connection on which it had responded once, as long as its caller liked, although settings and docs say 75 seconds. Together with the limit of connections such a crowd was closed only when others came.

Cause: the timer that the end of a response starts notified the handlers behind the one that handles the connection, so nobody.

Evidence: CallerServerSpec, "a connection that has been idle for the idle timeout after a response": still open after 20 s with a timeout of 0.3 s before.

Change: RequestTimeoutHandler notifies the handlers behind itself. While complete requests wait for the caller to take a response, the limit on the arrival of a request does not apply, the idle timeout does.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/CallerConnection.kt
@@ -150,7 +150,8 @@
 
     /** Handles the next request, unless one is being served, or the caller does not read its responses, which would accumulate. */
     private fun handleNext(context: ChannelHandlerContext) {
-        if (closing || isResponding || !context.channel().isWritable) return
+        if (closing || isResponding) return
+        if (!context.channel().isWritable) return awaitCaller(context)
         val request = pipelinedRequests.removeFirstOrNull() ?: return
         activeBytes = request.heldBytes
         recordMemory()
@@ -158,6 +159,12 @@
         if (!handleLocally(context, request)) forward(context, request)
     }
 
+    /** Limits the time in which the caller takes none of a response while complete requests wait for that. */
+    private fun awaitCaller(context: ChannelHandlerContext) {
+        if (pipelinedRequests.isEmpty()) return
+        context.pipeline().get(RequestTimeoutHandler::class.java)?.onResponseEnd(nextRequestPending = false)
+    }
+
     /** Records what the requests of this connection hold; returns false if that is too much. */
     private fun recordMemory(): Boolean = memory.resize(collector.heldBytes + pipelinedRequests.sumOf { it.heldBytes } + activeBytes)
 
@@ -288,7 +295,7 @@
         val hasNext = pipelinedRequests.isNotEmpty()
         val refusal = pendingRefusal
         if (!hasNext && refusal != null) return refuseAndClose(context, refusal)
-        context.pipeline().get(RequestTimeoutHandler::class.java)?.onResponseEnd(context, nextRequestPending = hasNext)
+        context.pipeline().get(RequestTimeoutHandler::class.java)?.onResponseEnd(nextRequestPending = hasNext)
         if (hasNext) context.executor().execute { handleNext(context) }
     }
 
@@ -314,8 +321,11 @@
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         when (event) {
-            RequestTimeoutEvent.REQUEST_INCOMPLETE -> refuseAndClose(context, RefusalKind.REQUEST_TIMEOUT)
-            RequestTimeoutEvent.CONNECTION_IDLE -> closeIfIdle(context)
+            RequestTimeoutEvent.REQUEST_INCOMPLETE ->
+                if (isServing && !isReading) awaitCaller(context) else refuseAndClose(context, RefusalKind.REQUEST_TIMEOUT)
+
+            RequestTimeoutEvent.CONNECTION_IDLE -> if (!isResponding) context.close()
+
             else -> context.fireUserEventTriggered(event)
         }
     }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/RequestTimeoutHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/edge/RequestTimeoutHandler.kt
@@ -17,19 +17,24 @@
     private val requestReceiveTimeout: Duration,
     private val idleTimeout: Duration,
 ) : ChannelInboundHandlerAdapter() {
+    private lateinit var ownContext: ChannelHandlerContext
     private var timer: ScheduledFuture<*>? = null
     private var receiving = false
     private var responding = false
 
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        ownContext = context
+    }
+
     override fun channelActive(context: ChannelHandlerContext) {
-        schedule(context, requestReceiveTimeout, RequestTimeoutEvent.CONNECTION_IDLE)
+        schedule(requestReceiveTimeout, RequestTimeoutEvent.CONNECTION_IDLE)
         context.fireChannelActive()
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (!receiving && !responding) {
             receiving = true
-            schedule(context, requestReceiveTimeout, RequestTimeoutEvent.REQUEST_INCOMPLETE)
+            schedule(requestReceiveTimeout, RequestTimeoutEvent.REQUEST_INCOMPLETE)
         }
         context.fireChannelRead(message)
     }
@@ -42,13 +47,13 @@
     }
 
     /** Starts the next timer after a response. [nextRequestPending] tells whether a pipelined request is already waiting. */
-    fun onResponseEnd(context: ChannelHandlerContext, nextRequestPending: Boolean) {
+    fun onResponseEnd(nextRequestPending: Boolean) {
         responding = false
         receiving = nextRequestPending
         if (nextRequestPending) {
-            schedule(context, requestReceiveTimeout, RequestTimeoutEvent.REQUEST_INCOMPLETE)
+            schedule(requestReceiveTimeout, RequestTimeoutEvent.REQUEST_INCOMPLETE)
         } else {
-            schedule(context, idleTimeout, RequestTimeoutEvent.CONNECTION_IDLE)
+            schedule(idleTimeout, RequestTimeoutEvent.CONNECTION_IDLE)
         }
     }
 
@@ -57,10 +62,10 @@
         context.fireChannelInactive()
     }
 
-    private fun schedule(context: ChannelHandlerContext, timeout: Duration, event: RequestTimeoutEvent) {
+    private fun schedule(timeout: Duration, event: RequestTimeoutEvent) {
         timer?.cancel(false)
-        timer = context.executor().schedule(
-            { context.fireUserEventTriggered(event) },
+        timer = ownContext.executor().schedule(
+            { ownContext.fireUserEventTriggered(event) },
             timeout.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/CallerServerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/edge/CallerServerSpec.kt
@@ -199,6 +199,35 @@
         }
     }
 
+    describe("a connection that has been idle for the idle timeout after a response") {
+        // The timer that a response started notified nobody, so such connections stayed as long as their callers liked.
+        it("is closed") {
+            withRouter(streamingEngine(1), settings = CallerServerSettings("127.0.0.1", 0, idleTimeout = 300.milliseconds)) { router, _ ->
+                RawCaller(router.port).use { caller ->
+                    caller.sendRequest("GET", "/healthz")
+                    caller.readResponse().status shouldBe 200
+                    caller.isClosedByServer().shouldBeTrue()
+                }
+            }
+        }
+    }
+
+    describe("a request that waits until the caller has read the response before it") {
+        // The limit on the time of its arrival must not apply: the refusal would be one response too many.
+        it("is answered, and nothing else, although the caller reads late") {
+            val settings = CallerServerSettings("127.0.0.1", 0, requestReceiveTimeout = 300.milliseconds)
+            withRouter(streamingEngine(1), settings = settings) { router, _ ->
+                RawCaller(router.port, receiveBufferBytes = 16_384).use { caller ->
+                    repeat(6) { caller.sendRequest("GET", "/metrics") }
+                    TimeUnit.SECONDS.sleep(1)
+                    repeat(6) { caller.readResponse().status shouldBe 200 }
+                    caller.sendRequest("GET", "/healthz")
+                    caller.readResponse().status shouldBe 200
+                }
+            }
+        }
+    }
+
     describe("KV cache blocks held by another target") {
         val scope = Base64.getEncoder().encodeToString("scope".toByteArray())
 
