--- a/review/6/stand/Http.java
+++ b/review/6/stand/Http.java
@@ -131,7 +131,13 @@
         /** Resets all connections and takes no new ones, as a process does that ends. */
         void crash() throws IOException {
             listening.close();
-            for (Connection connection : connections) connection.reset();
+            for (Connection connection : connections) {
+                try {
+                    connection.reset();
+                } catch (IOException ended) {
+                    // The connection has ended already.
+                }
+            }
         }
 
         @Override
