--- a/review/6/stand/Instance.java
+++ b/review/6/stand/Instance.java
@@ -20,6 +20,8 @@
 final class Instance implements AutoCloseable {
     /** The deploy file names it; the platform places the settings there. */
     private static final String SETTINGS_PLACE = "/etc/cactuspulley/node.json";
+    private static final long GRACE = 8_000;
+    private static final long RESTART_DELAY = 200;
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
     private static final Pattern SECTION = Pattern.compile("\\{\\{#([a-z_.]+)}}(.*?)\\{\\{/\\1}}");
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z0-9_.]+)(\\|json)?}}");
@@ -29,7 +31,8 @@
     final InetSocketAddress callers = new InetSocketAddress(ip, freePort(ip));
     private final InetSocketAddress ready = new InetSocketAddress(ip, freePort(ip));
     private final Path folder;
-    private final Process process;
+    private final List<String> command = new ArrayList<>();
+    private Process process;
 
     Instance(String name, String zone, Store store, Path folder) throws IOException {
         this.name = name;
@@ -38,12 +41,24 @@
         Files.writeString(settings, render(Files.readString(Path.of("deploy/node.toml.template")), values(name, zone, store)));
         Matcher run = RUN.matcher(Files.readString(Path.of("deploy/system.toml")));
         if (!run.find()) throw new IOException("deploy/system.toml has no command");
-        List<String> command = new ArrayList<>();
         for (String word : run.group(1).split(" ")) command.add(word.equals(SETTINGS_PLACE) ? settings.toString() : word);
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log());
+        start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> process.destroyForcibly()));
+    }
+
+    private void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log()));
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         process = builder.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    }
+
+    /** Stops the process as the platform does, with SIGTERM and with SIGKILL after {@code grace_s}, and starts it again. */
+    void roll() throws IOException, InterruptedException {
+        process.destroy();
+        if (!process.waitFor(GRACE, TimeUnit.MILLISECONDS)) process.destroyForcibly().waitFor();
+        Thread.sleep(RESTART_DELAY);
+        start();
     }
 
     private Map<String, String> values(String name, String zone, Store store) {
