Hold a request that crashes targets back for as long as it comes, at instances that start later as well

Callers saw: a request with a prompt that had crashed three targets and was refused by all instances was sent on again by each instance that was stopped and started, three times more, and by all of them after 60 s. With each crash the streams of others at the target were cut.

Cause: a crash notice was repeated for 2 s and counted for 60 s, in memory. An instance that started later was told nothing, and the rule, which has no end, ended with the crashes. Attempts were counted instead of crashes, so that one crash could hold equal requests back, and nothing on this path called `CrashTracker.expire`.

Change: the quarantine of pieces holds whole requests back too (docs/design/crashing-requests.md). The crash of one start of a target counts once; a served request voids the evidence. What is held back is in every digest, and an instance that has just started runs no request until a peer has told it, or 0.3 s after it knows their addresses. After 10 minutes, 1, 6 and 24 hours one instance lets one such request run as a trial. CrashTracker, notices and counts of this path are removed; CrashTracker keeps the one threshold that the product's own interface uses, so its spec no longer has the case of three, which CrashQuarantineSpec covers.

The test of the release after ten minutes asked that the piece may run then; now it asks for a trial, which is stricter. The simulated prompts have a trait for the whole request each, in addition to their pieces.

--- a/core/src/main/kotlin/org/cactuspulley/core/quarantine/CrashTracker.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/quarantine/CrashTracker.kt
@@ -4,12 +4,8 @@
 import org.cactuspulley.core.model.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 
-/**
- * Holds the target crashes that count, by the fingerprint of the request that caused them.
- *
- * @param quarantineCount the number of crashes from which a fingerprint is quarantined.
- */
-public class CrashTracker(private val quarantineCount: Int = DEFAULT_QUARANTINE_COUNT) {
+/** Holds the target crashes that count, by the fingerprint of the request that caused them. */
+public class CrashTracker {
     /** Holds for each attempt that crashed its target the time until which the crash counts. */
     private val crashes = mutableMapOf<Fingerprint, MutableMap<AttemptId, MonotonicTime>>()
 
@@ -26,8 +22,8 @@
         val activeCrashes = crashes[fingerprint]?.values?.filter { it > now }.orEmpty()
         return when {
             activeCrashes.isEmpty() -> QuarantineVerdict.Clear
-            activeCrashes.size < quarantineCount -> QuarantineVerdict.Suspect
-            else -> QuarantineVerdict.Quarantined(activeCrashes.sortedDescending()[quarantineCount - 1])
+            activeCrashes.size < QUARANTINE_COUNT -> QuarantineVerdict.Suspect
+            else -> QuarantineVerdict.Quarantined(activeCrashes.sortedDescending()[QUARANTINE_COUNT - 1])
         }
     }
 
@@ -43,6 +39,7 @@
     }
 
     private companion object {
-        const val DEFAULT_QUARANTINE_COUNT = 2
+        /** The number of crashes from which a fingerprint is quarantined. */
+        const val QUARANTINE_COUNT = 2
     }
 }
--- a/core/src/test/kotlin/org/cactuspulley/core/quarantine/CrashTrackerSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/quarantine/CrashTrackerSpec.kt
@@ -12,18 +12,14 @@
 private fun CrashTracker.crash(number: Int) = add(CrashNotice(FINGERPRINT, AttemptId("r-$number#0"), 60_000), START)
 
 class CrashTrackerSpec : DescribeSpec({
-    for (count in 2..3) {
-        describe("a tracker that quarantines from $count crashes") {
-            it("suspects a request until it has crashed that many targets") {
-                val tracker = CrashTracker(count)
-                tracker.verdict(FINGERPRINT, START) shouldBe QuarantineVerdict.Clear
-                (1 until count).forEach {
-                    tracker.crash(it)
-                    tracker.verdict(FINGERPRINT, START) shouldBe QuarantineVerdict.Suspect
-                }
-                tracker.crash(count)
-                tracker.verdict(FINGERPRINT, START) shouldBe QuarantineVerdict.Quarantined(START + 60.seconds)
-            }
+    describe("a tracker of crashes") {
+        it("suspects a request until it has crashed two targets") {
+            val tracker = CrashTracker()
+            tracker.verdict(FINGERPRINT, START) shouldBe QuarantineVerdict.Clear
+            tracker.crash(1)
+            tracker.verdict(FINGERPRINT, START) shouldBe QuarantineVerdict.Suspect
+            tracker.crash(2)
+            tracker.verdict(FINGERPRINT, START) shouldBe QuarantineVerdict.Quarantined(START + 60.seconds)
         }
     }
 })
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandler.kt
@@ -142,9 +142,8 @@
         if (isBusy || isClosing || unread.bytes > MAX_UNREAD_BYTES) return
         val pending = pipelined.firstOrNull() ?: return
         val parsed = protocol.read(pending.collected.head, pending.arrivedAt)
-        val awaitsConfiguration = parsed.get()?.let { context.state.awaitsConfiguration(it.deadline, context.clock.now()) } ?: false
-        if (awaitsConfiguration) {
-            context.schedule(CONFIGURATION_POLL_INTERVAL, ::startNext)
+        if (parsed.get()?.let { context.isStarting(it.deadline) } ?: false) {
+            context.schedule(START_POLL_INTERVAL, ::startNext)
             return
         }
         pipelined.removeFirst()
@@ -290,7 +289,7 @@
 
     private companion object {
         /** How often a request that waits for the first configuration looks for it; a read of it takes several times as long. */
-        val CONFIGURATION_POLL_INTERVAL = 20.milliseconds
+        val START_POLL_INTERVAL = 20.milliseconds
 
         /** Refusals for lack of room, of which another instance may have enough. */
         val PASSING_REFUSALS = setOf(ForwardingRefusal.NO_MEMORY, ForwardingRefusal.TOO_MANY_CONNECTIONS)
--- /dev/null
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashNotices.kt
@@ -0,0 +1,80 @@
+/*
+ * The part of a digest that tells peers which requests crash targets.
+ */
+package org.cactuspulley.runtime.forwarding
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
+import org.cactuspulley.core.quarantine.RequestTrait
+
+/**
+ * What an instance knows of requests that crash targets.
+ *
+ * @property crashes the crashes that the instance observed recently.
+ * @property served the suspected traits of which the instance recently served a request.
+ * @property quarantines the quarantines that the instance knows, or some of them in turn.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class CrashNotices(
+    val crashes: List<TargetCrashNotice>,
+    val served: List<ServedNotice>,
+    val quarantines: List<QuarantineNotice>,
+)
+
+/**
+ * Reports the crash of a target while it ran requests with [traits].
+ *
+ * @property target the id of the target.
+ * @property startedAtMillis the wall-clock time of the target's start in Unix milliseconds.
+ * @property ageMillis the time since the crash, in milliseconds at the send of the notice.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class TargetCrashNotice(val target: String, val startedAtMillis: Long, val traits: EncodedTraits, val ageMillis: Long)
+
+/** Reports that a request with [traits] was served [ageMillis] milliseconds before the send of the notice. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class ServedNotice(val traits: EncodedTraits, val ageMillis: Long)
+
+/**
+ * Reports that requests with all of [traits] are held back.
+ *
+ * @property crashAgeMillis the time since the last crash on them, in milliseconds at the send of the notice.
+ * @property convictions how often crashes were attributed to the traits.
+ * @property remainingMillis the time after which the quarantine is forgotten, in milliseconds at the send of the notice.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class QuarantineNotice(
+    val traits: EncodedTraits,
+    val crashAgeMillis: Long,
+    val convictions: Int,
+    val remainingMillis: Long,
+)
+
+/** The hashes of traits by their kinds: [pieces] of prompts, [paths] with bodies, and [queries] with both. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class EncodedTraits(val pieces: List<Long>, val paths: List<Long>, val queries: List<Long>) {
+    fun decode(): Set<RequestTrait> = buildSet {
+        paths.mapTo(this) { RequestTrait.PathAndBody(it) }
+        queries.mapTo(this) { RequestTrait.WholeRequest(it) }
+        pieces.mapTo(this) { RequestTrait.Piece(it) }
+    }
+
+    companion object {
+        fun of(traits: Collection<RequestTrait>) = EncodedTraits(
+            traits.filterIsInstance<RequestTrait.Piece>().map { it.hash },
+            traits.filterIsInstance<RequestTrait.PathAndBody>().map { it.hash },
+            traits.filterIsInstance<RequestTrait.WholeRequest>().map { it.hash },
+        )
+    }
+}
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DecisionLog.kt
@@ -13,6 +13,7 @@
 import org.cactuspulley.core.model.RequestId
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.ZoneName
+import org.cactuspulley.core.quarantine.RequestTrait
 import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger("decisions")
@@ -104,12 +105,12 @@
         )
     }
 
-    /** Records that a request is refused or withdrawn because its prompt holds the quarantined [pieces]. */
-    fun quarantined(request: ForwardedRequest, pieces: Set<Long>) =
-        write("quarantined", "request" to request.id.text, "pieces" to PieceQuarantineExchange.text(pieces))
+    /** Records that a request is refused or withdrawn because it has the quarantined [traits]. */
+    fun quarantined(request: ForwardedRequest, traits: Set<RequestTrait>) =
+        write("quarantined", "request" to request.id.text, "traits" to CrashQuarantineExchange.text(traits))
 
     /**
-     * Records an attempt that ended without a usable response. How far the response got and the shared pieces of the prompt show which
+     * Records an attempt that ended without a usable response. How far the response got and the traits of the request show which
      * requests may have crashed the target; the connection shows whether the response may have been due to an earlier request there.
      */
     fun attemptFailed(request: ForwardedRequest, attempt: SendAttempt, failure: SendFailure, reason: String) {
@@ -125,7 +126,7 @@
             "events" to attempt.hasEvents,
             "connection" to attempt.connection,
             "requestsOnConnection" to attempt.requestsOnConnection,
-            "pieces" to request.prompt?.let { PieceQuarantineExchange.text(it.sharedHashes) },
+            "traits" to CrashQuarantineExchange.text(attempt.traits),
         )
     }
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/DigestExchange.kt
@@ -15,7 +15,6 @@
 import org.cactuspulley.core.model.TargetId
 import org.cactuspulley.core.model.WorkspaceId
 import org.cactuspulley.core.model.ZoneName
-import org.cactuspulley.core.quarantine.CrashNotice
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -57,8 +56,6 @@
     private val state = context.state
     private val positions = HashMap<InstanceId, PeerPosition>()
 
-    /** The crash notices of this instance, each with the time until which it is repeated in digests. */
-    private val crashes = ArrayDeque<Pair<CrashNotice, MonotonicTime>>()
     private val newestDigests = HashMap<InstanceId, ReceivedDigest>()
 
     /** The sequence number of the last digest of this instance. */
@@ -173,14 +170,6 @@
         speeds = emptyList(),
     )
 
-    /** Sends a crash notice to all peers immediately and repeats it in the next digests. */
-    fun sendCrash(notice: CrashNotice) {
-        val now = context.clock.now()
-        crashes.addLast(notice to now + CRASH_REPEAT_TIME)
-        if (crashes.size > MAX_CRASHES) crashes.removeFirst()
-        sendToAll()
-    }
-
     /** Sends this instance's digest to all peers, also in a large fleet. */
     fun sendToAll() = sendTo(PeerMessage(ownDigest(context.clock.now())), addresses(state.fleet.known))
 
@@ -207,8 +196,8 @@
 
     private fun toRelayed(record: KeyedRecord) = RelayedRecord(record.key, record.offset, record.value)
 
-    private fun ownDigest(now: MonotonicTime): FleetDigest {
-        while (crashes.isNotEmpty() && crashes.first().second <= now) crashes.removeFirst()
+    /** The digest of this instance; with all that its quarantine holds if [isComplete]. */
+    private fun ownDigest(now: MonotonicTime, isComplete: Boolean = false): FleetDigest {
         return FleetDigest(
             id = self.id.text,
             incarnation = self.incarnation.number,
@@ -236,10 +225,7 @@
                 NamedWeights(it.model.text, it.version, (now - it.namedAt).inWholeMilliseconds)
             },
             failingStores = state.cache.unresponsiveStores,
-            crashes = crashes.map { it.first },
-            pieceCrashes = context.pieceQuarantine.crashNotices(now),
-            soundPieces = context.pieceQuarantine.soundNotices(now),
-            pieceQuarantines = context.pieceQuarantine.quarantineNotices(now),
+            crashNotices = if (context.quarantine.isAwaitingPeers(now)) null else context.quarantine.notices(now, isComplete),
             leaving = context.leavingTargets.notices(now),
             limits = context.rateLimits.notices(now),
             occupancy = if (state.capacity.isEnabled) occupancy() else null,
@@ -314,6 +300,7 @@
         }
         // The store may leave all of its regular readers without an answer and still answer other instances.
         if (hasLostStore && state.fleet.isStoreChecker(now)) operations.read()
+        if (digest.crashNotices == null && !isRelayed && !context.quarantine.isAwaitingPeers(now)) answerStartedPeer(digest, now)
         digest.claimFence?.let { recordPeerClaim(peer, it) }
         digest.relayedRanges.forEach { applyRelayed(peer, it, now) }
         // The relayed records may hold the versions.
@@ -322,6 +309,12 @@
         }
     }
 
+    /** Tells a peer that has just started what the fleet holds back, without which it runs no request. */
+    private fun answerStartedPeer(digest: FleetDigest, now: MonotonicTime) {
+        val address = HostAndPort.parse(digest.peerAddress) ?: return
+        sendTo(PeerMessage(ownDigest(now, isComplete = true)), listOf(address))
+    }
+
     /** Applies the state that [peer] had at [at]; its load, its loading targets and its unresponsive stores count [until] then. */
     private fun applyState(peer: InstanceId, digest: FleetDigest, at: MonotonicTime, until: MonotonicTime) {
         HostAndPort.parse(digest.peerAddress)?.let {
@@ -335,8 +328,7 @@
             state.cache.recordPeerSave(SaveNotice(CachedPrefix(it.scope, it.piece), it.settlesInMillis.milliseconds), at)
         }
         digest.failingStores.forEach { state.cache.recordPeerStoreFailure(it, until, context.clock.now()) }
-        digest.crashes.forEach { state.crashes.add(it, at) }
-        context.pieceQuarantine.receive(peer, digest, at)
+        digest.crashNotices?.let { context.quarantine.receive(peer, it, at) }
         context.leavingTargets.receive(peer.text, digest.leaving)
         context.rateLimits.receive(peer.text, digest.limits, at)
         context.releases.receive(peer, digest, at)
@@ -390,12 +382,6 @@
          */
         val RELAY_INTERVAL: Duration = 700.milliseconds
 
-        /** How long a crash notice is repeated in digests; several digests carry it, in case datagrams are lost. */
-        val CRASH_REPEAT_TIME: Duration = 2.seconds
-
-        /** The maximum number of crash notices in one digest; more would not fit into a datagram together with a configuration. */
-        const val MAX_CRASHES = 200
-
         /** How long a peer's load, loading targets and unresponsive stores count; two digests later they have mostly changed. */
         val STATE_LIFETIME: Duration = 900.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/FleetDigest.kt
@@ -12,10 +12,6 @@
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborArray
-import org.cactuspulley.core.quarantine.CrashNotice
-import org.cactuspulley.core.quarantine.PieceCrashNotice
-import org.cactuspulley.core.quarantine.PieceQuarantineNotice
-import org.cactuspulley.core.quarantine.SoundPieceNotice
 
 /**
  * The state of one instance.
@@ -41,10 +37,7 @@
  * @property namedWeights the versions of weights that were named recently.
  * @property saved the pieces that the instance had targets save to a cache store since its last regular digest.
  * @property failingStores the addresses of the cache stores that are unresponsive to the instance.
- * @property crashes the recent crash notices of the instance.
- * @property pieceCrashes the crashes of targets that the instance observed recently, with the pieces that may have caused them.
- * @property soundPieces the suspected pieces that the instance recently found sound.
- * @property pieceQuarantines the quarantines of pieces that hold at the instance.
+ * @property crashNotices what the instance knows of requests that crash targets; null if it has not learned yet what its peers know.
  * @property leaving the targets that told the instance recently that they are leaving.
  * @property limits the rate limits that targets named to the instance, or lifted.
  * @property occupancy what the instance has in flight at each target; null if the digest does not say, as those of older releases.
@@ -76,10 +69,7 @@
     val namedWeights: List<NamedWeights> = emptyList(),
     val saved: List<EncodedSaveNotice> = emptyList(),
     val failingStores: Set<String> = emptySet(),
-    val crashes: List<CrashNotice> = emptyList(),
-    val pieceCrashes: List<PieceCrashNotice> = emptyList(),
-    val soundPieces: List<SoundPieceNotice> = emptyList(),
-    val pieceQuarantines: List<PieceQuarantineNotice> = emptyList(),
+    val crashNotices: CrashNotices? = null,
     val leaving: List<LeavingTarget> = emptyList(),
     val limits: List<TargetLimitNotice> = emptyList(),
     val occupancy: List<TargetOccupancyNotice>? = null,
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -20,9 +20,8 @@
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.model.TargetId
-import org.cactuspulley.core.quarantine.CrashNotice
-import org.cactuspulley.core.quarantine.Fingerprint
-import org.cactuspulley.core.quarantine.QuarantineVerdict
+import org.cactuspulley.core.quarantine.CrashVerdict
+import org.cactuspulley.core.quarantine.RequestTrait
 import org.cactuspulley.core.queueing.OfferResult
 import org.cactuspulley.core.queueing.QueuedRequest
 import org.cactuspulley.runtime.platform.HostAndPort
@@ -70,7 +69,7 @@
     private val log = context.log
     private lateinit var grant: ForwardingGrant
     private lateinit var progress: RequestProgress
-    private var fingerprint: Fingerprint? = null
+    private lateinit var traits: Set<RequestTrait>
 
     /** The units that were consumed from the workspace's token bucket and may still be refunded. */
     private var charged = 0.0
@@ -78,6 +77,9 @@
     private var ended = false
     private var isHeldForRateLimit = false
 
+    /** Whether the request runs, at one target only, to find out whether requests like it still crash targets. */
+    private var isTrial = false
+
     /** Identifies the request in the queue of this instance. */
     private val queueId = context.waiting.nextId()
 
@@ -96,14 +98,16 @@
         if (context.plannedStop?.refuses(progress.deadline, serviceTimes.totalLimit(arrivedAt), arrivedAt) ?: false) {
             return refuseEarly(ForwardingRefusal.STOPPING, RETRY_AFTER_STOPPING)
         }
-        val requestFingerprint = Fingerprint(grant.workspace?.name, context.hash(request.path, body))
-        fingerprint = requestFingerprint
-        if (state.crashes.verdict(requestFingerprint, arrivedAt) is QuarantineVerdict.Quarantined) {
-            return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
-        }
-        context.pieceQuarantine.verdict(request.prompt, arrivedAt)?.let { quarantined ->
-            log.quarantined(request, quarantined)
-            return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
+        traits = requestTraits(head, request, body, grant.workspace?.name)
+        when (val verdict = context.quarantine.admit(traits, progress.deadline, arrivedAt)) {
+            CrashVerdict.Clear -> Unit
+
+            is CrashVerdict.OnTrial -> isTrial = true
+
+            is CrashVerdict.Held -> {
+                log.quarantined(request, verdict.traits)
+                return refuseEarly(ForwardingRefusal.CRASHES_TARGETS, RETRY_AFTER_CRASHING)
+            }
         }
         if (!charge()) return
         val remaining = progress.deadline - arrivedAt
@@ -138,7 +142,7 @@
         val target = selectTarget(now) ?: return
         context.waiting.started(queueId, grant.pool)?.let { log.startedAfterWaiting(grant.pool, it) }
         val address = HostAndPort.parse(target.entry.address) ?: return giveUp(progress.noTarget())
-        val attempt = SendAttempt(context, this, GrantedRequest(head, body, request, grant), progress, target)
+        val attempt = SendAttempt(context, this, GrantedRequest(head, body, request, grant, traits), progress, target)
         currentAttempt = attempt
         attempt.start(address)
     }
@@ -262,13 +266,16 @@
     }
 
     /**
-     * Ends the request if its prompt is quarantined and no answer has begun, so that it crashes no further target; returns whether
-     * it did.
+     * Ends the request if it is quarantined and no answer has begun, so that it crashes no further target; returns whether it did.
      */
     fun withdrawIfQuarantined(): Boolean {
         val outstanding = currentAttempt
         if (ended || outstanding?.hasEvents == true) return false
-        val quarantined = context.pieceQuarantine.verdict(request.prompt, context.clock.now()) ?: return false
+        val quarantined = when (val verdict = context.quarantine.verdict(traits, context.clock.now())) {
+            CrashVerdict.Clear -> return false
+            is CrashVerdict.OnTrial -> if (outstanding != null || isFirstSendOfTrial) return false else verdict.traits
+            is CrashVerdict.Held -> verdict.traits
+        }
         log.quarantined(request, quarantined)
         val mayHaveRun = progress.mayHaveRun || outstanding?.isWritten == true
         outstanding?.cancel(null)
@@ -282,6 +289,8 @@
         return true
     }
 
+    private val isFirstSendOfTrial: Boolean get() = isTrial && progress.sentAttempts == 0
+
     private fun refundCharge() {
         if (charged > 0) grant.workspace?.let { state.tokenBucket(it) }?.refund(charged, context.clock.now())
         charged = 0.0
@@ -393,11 +402,6 @@
         startAttempt()
     }
 
-    override fun targetCrashed(attempt: SendAttempt) {
-        val requestFingerprint = fingerprint ?: return
-        if (request.prompt != null) context.reportCrash(CrashNotice(requestFingerprint, attempt.id, CRASH_LIFETIME.inWholeMilliseconds))
-    }
-
     private fun delivered(attempt: SendAttempt, status: Int) {
         if (ended) return
         finish()
@@ -423,8 +427,5 @@
 
         /** The version of weights that is assumed until a desired one is known; versions start at 1. */
         const val FIRST_WEIGHTS_VERSION = 1L
-
-        /** How long a crash counts against a request; callers send the same request again within a minute. */
-        val CRASH_LIFETIME = 60_000.milliseconds
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingContext.kt
@@ -1,12 +1,11 @@
 package org.cactuspulley.runtime.forwarding
 
-import com.dynatrace.hash4j.hashing.Hashing
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.PooledByteBufAllocator
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import org.cactuspulley.core.quarantine.CrashNotice
+import org.cactuspulley.core.model.MonotonicTime
 import org.cactuspulley.core.queueing.FairRequestQueue
 import org.cactuspulley.core.queueing.QueueSettings
 import org.cactuspulley.runtime.control.MonotonicClock
@@ -35,7 +34,6 @@
     val connections: TargetConnectionPool,
     val log: DecisionLog,
     val loopDelay: LoopDelayMonitor,
-    private val onCrash: (CrashNotice) -> Unit,
     private val sendDigests: () -> Unit,
     private val sendToAll: () -> Unit = sendDigests,
     requestMemoryBytes: Long = Long.MAX_VALUE,
@@ -43,8 +41,8 @@
     /** The allocator of all buffers of the exchanges. */
     val allocator: ByteBufAllocator = PooledByteBufAllocator.DEFAULT
 
-    /** The quarantine of the pieces of prompts that crash targets. */
-    val pieceQuarantine = PieceQuarantineExchange(this) { sendToAll() }
+    /** The quarantine of requests that crash targets. */
+    val quarantine = CrashQuarantineExchange(this) { sendToAll() }
 
     /** The era of the store. */
     val storeEra = StoreEra(log)
@@ -82,9 +80,11 @@
     /** The shutdown of the instance; null before it begins. */
     var plannedStop: PlannedStop? = null
 
-    /** Records that a target broke the connection while it ran a request, and notifies the fleet if that is new. */
-    fun reportCrash(notice: CrashNotice) {
-        if (state.crashes.add(notice, clock.now())) onCrash(notice)
+    /** Returns whether a request should wait, until its [deadline] at most, because this instance has just started. */
+    fun isStarting(deadline: MonotonicTime?): Boolean {
+        val now = clock.now()
+        val awaitsPeers = quarantine.isAwaitingPeers(now) && (deadline == null || now < deadline)
+        return awaitsPeers || state.awaitsConfiguration(deadline, now)
     }
 
     /** Schedules an additional digest, so that peers learn of a change before the next regular digest. */
@@ -104,10 +104,6 @@
     /** Runs [action] after all connections have been read once more; a timer that a task schedules runs no sooner than that. */
     fun afterNextRead(action: () -> Unit) = loop.execute { schedule(Duration.ZERO, action) }
 
-    /** Hashes the parts of a request by which repeated requests of a caller are recognized. */
-    fun hash(path: String, body: ByteArray): Long =
-        HASHER.hashStream().putString(path).putByteArray(body).asLong
-
     /** Whether the connection that delivered [response] can be reused for another request. */
     fun isReusable(response: HttpResponse): Boolean = HttpUtil.isKeepAlive(response) && response.isFramed
 
@@ -120,7 +116,5 @@
 
         /** A sixth of the buffer memory of an instance, for all its responses together. */
         const val MAX_RESPONSES_BYTES = 16L * 1024 * 1024
-
-        val HASHER = Hashing.xxh3_64()
     }
 }
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingInstance.kt
@@ -89,7 +89,6 @@
         TargetConnectionPool(loop, clock, TcpTargetConnector(loop, log::unexpectedBytes) { context.responseMemory.Share() }),
         log,
         LoopDelayMonitor(TICK_MILLIS.milliseconds, clock.now()),
-        onCrash = { notice -> digests.sendCrash(notice) },
         sendDigests = { digests.sendDigests() },
         sendToAll = { digests.sendToAll() },
         requestMemoryBytes = requestMemoryBytes,
@@ -170,7 +169,9 @@
         settings.listen.questions.distinct().forEach { channels += queries.bind(parseAddress(it)) }
         context.storeEra.onRise(::announceIfLost)
         ports.store.observeEras(context.storeEra::recordAnswer)
+        instances.onRead = { _, _ -> announcementsWereRead() }
         loop.execute {
+            context.quarantine.awaitPeers(clock.now() + START_TIMEOUT)
             log.event("started", "zone" to settings.instance.zone, "callers" to settings.listen.callers, "incarnation" to incarnation)
             log.event("connections_limited", "callers" to descriptors.callers, "queries" to descriptors.queries)
             registry.read()
@@ -218,12 +219,23 @@
         }
     }
 
+    /** Asks the peers, whose addresses are known now, what the fleet holds back. */
+    private fun announcementsWereRead() {
+        val now = clock.now()
+        if (!context.quarantine.isAwaitingPeers(now)) return
+        context.quarantine.peersKnown(isAlone = state.fleet.known.isEmpty(), now)
+        digests.sendDigests()
+        updateReadiness()
+    }
+
     private fun tick() = runSafely {
         val now = clock.now()
+        if (context.quarantine.isAwaitingPeers(now)) digests.sendDigests()
         recordDelay(context.loopDelay.recordTick(now))
         listener.sweep()
         queries.sweep()
         context.connections.sweep()
+        context.quarantine.expire(now)
         registry.advance(now)
         operations.resume()
         instances.resume()
@@ -272,7 +284,8 @@
     }
 
     private fun updateReadiness() {
-        val serves = context.plannedStop == null && state.authorizer.configuration != null && registry.replica.wasRead
+        val knowsFleet = !context.quarantine.isAwaitingPeers(clock.now())
+        val serves = context.plannedStop == null && state.authorizer.configuration != null && registry.replica.wasRead && knowsFleet
         if (serves == state.fleet.selfServes) return
         state.fleet.selfServes = serves
         log.event(if (serves) "ready" else "not_ready")
@@ -434,6 +447,9 @@
         /** The number of lifetimes for which some callers cache an address. */
         const val MAX_KEPT_LIFETIMES = 3
 
+        /** The time after its start in which an instance reads the announcements, unless the store fails. */
+        val START_TIMEOUT: Duration = 2.seconds
+
         /** The delay before a failed announcement is retried. */
         val ANNOUNCE_RETRY_DELAY: Duration = 500.milliseconds
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -24,7 +24,6 @@
 import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.ProfileName
 import org.cactuspulley.core.model.WorkspaceId
-import org.cactuspulley.core.quarantine.CrashTracker
 import org.cactuspulley.core.queueing.QueueOrder
 import org.cactuspulley.core.requests.RetryBudget
 import org.cactuspulley.core.rollout.ReleaseDirectory
@@ -91,9 +90,6 @@
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
 
-    /** The crashes that count against requests. */
-    val crashes = CrashTracker(CRASHES_BEFORE_QUARANTINE)
-
     /** The desired versions of the models' weights. */
     val desiredWeights = DesiredWeightsTracker()
 
@@ -114,6 +110,13 @@
     fun awaitsConfiguration(deadline: MonotonicTime?, now: MonotonicTime): Boolean =
         authorizer.configuration == null && now - startedAt < STARTUP_TIME && (deadline == null || now < deadline)
 
+    /**
+     * Returns whether this instance is the first, in an order determined by [subject], of those that serve callers; false until it has
+     * heard of all that do.
+     */
+    fun isFirstInFleet(subject: String, now: MonotonicTime): Boolean =
+        now - startedAt >= SETTLING_TIME && fleet.servingPosition(subject, now)?.rank == 0
+
     /** The token buckets that are in use, by workspace. */
     val allTokenBuckets: Map<WorkspaceId, ReplicatedTokenBucket> get() = tokenBuckets
 
@@ -216,12 +219,12 @@
         val WORKSPACE_FLOW = ProfileName("workspace")
         val ANONYMOUS_FLOW = ProfileName("anonymous")
 
-        /** As many as for a piece of prompts: a target that crashes by itself also breaks requests that have nothing to do with it. */
-        const val CRASHES_BEFORE_QUARANTINE = 3
-
         /** The time after its start in which an instance reads the configuration, unless the store fails. */
         val STARTUP_TIME = 2_000.milliseconds
 
+        /** The time after its start in which an instance hears of all others, in a large fleet through relays. */
+        val SETTLING_TIME = 3_000.milliseconds
+
         /** The share of the fleet's retry budget that is used; the rest is for instances that start and for late arrivals. */
         const val BUDGET_SHARE = 0.8
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -22,6 +22,7 @@
 import org.cactuspulley.core.forwarding.ZoneFlow
 import org.cactuspulley.core.model.AttemptId
 import org.cactuspulley.core.model.MonotonicTime
+import org.cactuspulley.core.quarantine.RequestTrait
 import org.cactuspulley.runtime.platform.HostAndPort
 import kotlin.time.Duration
 
@@ -32,8 +33,15 @@
  * @property body the complete body.
  * @property request the parsed request.
  * @property grant what the configuration grants the request.
+ * @property traits what the request may have in common with others that crash targets.
  */
-internal class GrantedRequest(val head: HttpRequest, val body: ByteArray, val request: ForwardedRequest, val grant: ForwardingGrant)
+internal class GrantedRequest(
+    val head: HttpRequest,
+    val body: ByteArray,
+    val request: ForwardedRequest,
+    val grant: ForwardingGrant,
+    val traits: Set<RequestTrait>,
+)
 
 /** Receives the events of a send attempt; the exchange that the attempt belongs to implements it. */
 internal interface AttemptObserver {
@@ -61,9 +69,6 @@
     /** Called with an error response of the target itself; takes ownership of [body]. */
     fun targetFailed(attempt: SendAttempt, response: HttpResponse, status: Int, body: ByteBuf)
 
-    /** Called when the target broke the connection while it may have been running the request. */
-    fun targetCrashed(attempt: SendAttempt)
-
     /** Whether another target can take the request over if [attempt], which may have run, is given up. */
     fun canBeSentElsewhere(attempt: SendAttempt): Boolean
 
@@ -91,6 +96,9 @@
     private val request = granted.request
     private val grant = granted.grant
     private val model = request.prompt?.model
+
+    /** What the request may have in common with others that crash targets. */
+    val traits: Set<RequestTrait> get() = granted.traits
     private val serviceTimes = state.serviceTimes.of(grant.pool, grant.route.name)
 
     /** Whether the attempt continues a stream of which the caller has received a part. */
@@ -367,7 +375,7 @@
             return exceedLimit("event")
         }
         if (completeEvents == null) return
-        if (!hasEvents) request.prompt?.let { context.pieceQuarantine.answerBegan(it, lastActivityAt) }
+        if (!hasEvents) recordServed(traits.filterIsInstance<RequestTrait.Piece>())
         if (!hasEvents) recordStart()
         if (!hasEvents) release.started(lastActivityAt - sentAt)
         lastEventsAt?.let { longestPause = maxOf(longestPause, lastActivityAt - it) }
@@ -441,15 +449,17 @@
         if (stream.hasPartialEvent) {
             release.failed()
             stream.release()
+            reportBrokenConnection()
             return observer.failed(this, SendFailure.BROKEN, "the stream ended within an event")
         }
         // Before the first event, the end of the connection is a sign of a crash rather than of a stream without events.
         if (!stream.hasEvents && observer.lastEventId == null && !httpResponse.isFramed) {
             release.failed()
-            reportSuspectedCrash()
+            reportBrokenConnection()
             return observer.failed(this, SendFailure.BROKEN, "the connection ended before the first event")
         }
         recordCompletion()
+        recordServed(traits)
         serviceTimes.recordLongestPause(longestPause, context.clock.now())
         observer.streamEnded(this, head.status)
     }
@@ -464,6 +474,7 @@
             else -> null
         }
         if (failure == SendFailure.BROKEN || (head.status >= SERVER_ERROR && !head.notRun)) release.failed()
+        if (failure == null || (failure == SendFailure.FAILED && head.isSigned)) recordServed(traits)
         if (failure == SendFailure.FAILED && !observer.hasStreamBegun && !isUnpromisedRefusal(head)) {
             return observer.targetFailed(this, httpResponse, head.status, body)
         }
@@ -473,7 +484,6 @@
             return observer.failed(this, failure ?: SendFailure.BROKEN, "status ${head.status}")
         }
         if (head.status in SUCCESS) recordCompletion() else target.health.recordSuccess(context.clock.now())
-        request.prompt?.let { context.pieceQuarantine.answerBegan(it, context.clock.now()) }
         observer.responseReceived(this, httpResponse, head.status, body)
     }
 
@@ -510,17 +520,24 @@
     override fun onBroken(reason: String) {
         release.failed()
         close()
-        reportSuspectedCrash()
-        if (responseHead == null || observer.hasStreamBegun) observer.targetCrashed(this)
+        reportBrokenConnection()
         observer.failed(this, SendFailure.BROKEN, reason)
     }
 
-    /** Reports a target that broke the connection between the beginning of an answer and its first event, as one that crashes does. */
-    private fun reportSuspectedCrash() {
-        val prompt = request.prompt ?: return
+    private fun recordServed(sound: Collection<RequestTrait>) {
+        if (request.prompt != null) context.quarantine.served(sound, context.clock.now())
+    }
+
+    /**
+     * Reports a target that broke the connection, as one that crashes does. The pieces of a prompt can be the cause only between the
+     * beginning of the answer and its first event, as the target does not read them before or after that.
+     */
+    private fun reportBrokenConnection() {
+        if (request.prompt == null) return
         val address = HostAndPort.parse(target.entry.address) ?: return
-        val mayHaveCrashed = if (grant.route.isStream) hasResponse && !hasEvents else !hasResponse
-        if (mayHaveCrashed) context.pieceQuarantine.connectionBroke(target, address, prompt, context.clock.now())
+        val wasReadingPieces = if (grant.route.isStream) hasResponse && !hasEvents else !hasResponse
+        val suspects = if (wasReadingPieces) traits else traits.filterNotTo(LinkedHashSet()) { it is RequestTrait.Piece }
+        context.quarantine.connectionBroke(target, address, suspects, sentAt)
     }
 
     /** Pauses or resumes reading from the target; a pause of reading is no silence of the target. */
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandlerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/CallerConnectionHandlerSpec.kt
@@ -54,7 +54,6 @@
         TargetConnectionPool(loop, clock) { _, _ -> error("nothing is sent") },
         DecisionLog(ForwardingMetrics()),
         LoopDelayMonitor(100.milliseconds, now),
-        onCrash = {},
         sendDigests = {},
     )
     val protocol = RefusingProtocol()
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -249,6 +249,7 @@
         val exchange: DigestExchange get() = parts.exchange
         val leavingTargets: LeavingTargetExchange get() = parts.context.leavingTargets
         val rateLimits: RateLimitExchange get() = parts.context.rateLimits
+        val quarantine: CrashQuarantineExchange get() = parts.context.quarantine
 
         /** What a restart of the instance replaces. */
         private inner class Parts {
@@ -261,7 +262,6 @@
                 TargetConnectionPool(loop, clock) { _, _ -> error("no target is called") },
                 DecisionLog(ForwardingMetrics()),
                 LoopDelayMonitor(100.milliseconds, now),
-                onCrash = {},
                 sendDigests = {},
             )
             val versions = VersionListener()
@@ -289,9 +289,12 @@
             private val isCurrent get() = parts === this
         }
 
-        /** Restarts the instance; it has no state left, and reads the registry. */
+        /** Restarts the instance; it has no state left, reads the registry and asks its peers what the fleet holds back. */
         fun restart() {
             parts = Parts()
+            quarantine.awaitPeers(now + START_TIMEOUT)
+            quarantine.peersKnown(isAlone = state.fleet.known.isEmpty(), now)
+            exchange.sendDigests()
             registry.read()
             if (operationsLog != null) operations.read()
         }
@@ -339,6 +342,7 @@
         for (instance in instances.filterNot { it.isDown }) {
             instance.registry.advance(now)
             if (operationsLog != null) instance.operations.resume()
+            if (instance.quarantine.isAwaitingPeers(now)) instance.exchange.sendDigests()
             if (ticks % TICKS_PER_DIGEST == 0) instance.exchange.sendDigests()
             if (ticks % TICKS_PER_BUNDLE == 0) instance.exchange.sendZoneBundle()
         }
@@ -361,6 +365,7 @@
 
     private companion object {
         val TICK = 100.milliseconds
+        val START_TIMEOUT = 2_000.milliseconds
         const val TICKS_PER_DIGEST = 4
         const val TICKS_PER_BUNDLE = 8
     }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OrderingSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/OrderingSimulation.kt
@@ -178,7 +178,6 @@
                 TargetConnectionPool(loop, clock) { _, _ -> error("no target is called") },
                 DecisionLog(ForwardingMetrics()),
                 LoopDelayMonitor(100.milliseconds, clockTime),
-                onCrash = {},
                 sendDigests = { sendDigests() },
             )
             private val operations = StoreFollower(context, UnresponsiveStore(), StoreTopic.OPERATIONS, IgnoredRecords, null) { false }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ReleaseSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ReleaseSimulation.kt
@@ -110,7 +110,6 @@
                 TargetConnectionPool(loop, clock) { _, _ -> error("no target is called") },
                 DecisionLog(ForwardingMetrics()),
                 LoopDelayMonitor(TICK, now),
-                onCrash = {},
                 sendDigests = { sendDigests() },
             )
             private val store = LogAccess(this)
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/RolloutDriverSpec.kt
@@ -79,7 +79,6 @@
                 TargetConnectionPool(channel.eventLoop(), clock) { _, _ -> error("no target is called") },
                 DecisionLog(ForwardingMetrics()),
                 LoopDelayMonitor(100.milliseconds, now),
-                onCrash = {},
                 sendDigests = { digests++ },
             )
             val control = AcceptingTargets()
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/SendAttemptSpec.kt
@@ -62,8 +62,6 @@
 
     override fun targetFailed(attempt: SendAttempt, response: HttpResponse, status: Int, body: ByteBuf) = error("no response can arrive")
 
-    override fun targetCrashed(attempt: SendAttempt) = error("no target can crash")
-
     override fun canBeSentElsewhere(attempt: SendAttempt) = false
 
     override fun failed(attempt: SendAttempt, failure: SendFailure, reason: String) {
@@ -102,7 +100,6 @@
         TargetConnectionPool(loop, clock) { _, onReady -> this.onReady = onReady },
         DecisionLog(ForwardingMetrics()),
         loopDelay,
-        onCrash = {},
         sendDigests = {},
     )
     val observer = FailureCollector()
@@ -116,7 +113,8 @@
         )
         val grant = ForwardingGrant(route, POOL, null, cost = 1.0, configurationVersion = 1)
         val request = ForwardedRequest(RequestId("r-1"), "desk.example", "/file/1", null, null, null, null)
-        val granted = GrantedRequest(DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/file/1"), ByteArray(0), request, grant)
+        val granted =
+            GrantedRequest(DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/file/1"), ByteArray(0), request, grant, emptySet())
         val progress = RequestProgress(grant, null, NOW, RetryBudget(1.0, 1.0), ServiceTimes())
         SendAttempt(context, observer, granted, progress, target()).start(ADDRESS)
     }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/StoreFollowerSpec.kt
@@ -145,7 +145,6 @@
         TargetConnectionPool(eventLoop, clock) { _, _ -> error("no target is called") },
         DecisionLog(ForwardingMetrics()),
         LoopDelayMonitor(100.milliseconds, clock.now()),
-        onCrash = {},
         sendDigests = {},
     )
     describe("a record that its listener fails on") {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/UnreadResponsesSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/UnreadResponsesSpec.kt
@@ -32,7 +32,6 @@
         TargetConnectionPool(loop, clock) { _, _ -> error("nothing is sent") },
         DecisionLog(ForwardingMetrics()),
         LoopDelayMonitor(100.milliseconds, now),
-        onCrash = {},
         sendDigests = {},
     )
     val unread = UnreadResponses(channel, context)
