--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/ExchangeSimulation.kt
@@ -293,10 +293,10 @@
         fun restart() {
             parts = Parts()
             quarantine.awaitPeers(now + START_TIMEOUT)
-            quarantine.peersKnown(isAlone = state.fleet.known.isEmpty(), now)
-            exchange.sendDigests()
             registry.read()
             if (operationsLog != null) operations.read()
+            quarantine.peersKnown(isAlone = state.fleet.known.isEmpty(), now)
+            exchange.sendDigests()
         }
 
         /** Makes the store refuse the reads of this instance while [isRefused]. */
