Keep the pieces that a workspace made while it shared them from others once it is isolated

Callers saw: two workspaces shared the first pieces of their prompts. After one had become isolated, the other's requests still ran on pieces that the isolated one had made.

Cause: the scope that all workspaces without isolation share was the same before and after the change, and neither targets nor the cache store drop pieces when the configuration changes. A request that waited across the change also used the scope of the configuration that had granted it.

Change: the shared scope contains a hash of the names of the isolated workspaces, and scopes follow from the newest configuration when the request is sent. A workspace uses the shared scope of a set only while it isn't in the set, so that no isolated workspace has ever used the scope that the others use, in any order of changes; instances that disagree use different scopes.

--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/CachePlan.kt
@@ -9,8 +9,8 @@
 /**
  * Where the cached pieces of a request's prompt are looked up and stored.
  *
- * @property scope the salt under which the target caches the pieces; it consists of the model, the weights version and,
- *    for an isolated workspace, the workspace.
+ * @property scope the salt under which the target caches the pieces; it consists of the model, the weights version and the workspace,
+ *    if it is isolated, or otherwise the isolated workspaces from which the pieces are kept apart.
  * @property expectedWeights the weights version that [scope] stands for; a target with another version must refuse
  *    the request.
  * @property store the host and port of the cache store from which missing pieces are fetched; null for none.
@@ -29,7 +29,8 @@
  *
  * A cache store keeps pieces that older weights produced, and checks neither workspace nor version. The scope
  * therefore names both, and the target is told which version it must have, so that pieces are never reused across a
- * weights change or outside an isolated workspace.
+ * weights change or outside an isolated workspace. Pieces do not tell either who made them, and outlast changes of the configuration.
+ * The scope that workspaces share therefore depends on which ones are isolated: those have never used it.
  *
  * A save sends a request's own piece together with the shared ones. Each prefix is therefore saved by one request
  * only, after its target has prefilled it; otherwise the store would evict shared pieces in favor of pieces that no
@@ -106,8 +107,14 @@
      * Returns how many tokens of [prompt]'s shared pieces need no prefill on [weights], because they are cached or
      * already being prefilled.
      */
-    public fun reusableTokens(grant: ForwardingGrant, prompt: PromptDescription, weights: Long?, now: MonotonicTime): Int {
-        val scope = scope(grant, prompt, weights ?: return 0)
+    public fun reusableTokens(
+        configuration: ForwardingConfiguration,
+        grant: ForwardingGrant,
+        prompt: PromptDescription,
+        weights: Long?,
+        now: MonotonicTime,
+    ): Int {
+        val scope = scope(configuration, grant, prompt, weights ?: return 0)
         val rootPiece = prompt.rootPiece ?: return 0
         return when {
             prompt.affinity?.let { isSaved(CachedPrefix(scope, it), now) } == true -> prompt.sharedTokens
@@ -127,16 +134,28 @@
      * root piece is cold, the root piece. Requests with a cold root piece then go to the target that prefills it
      * first, instead of each prefilling it again.
      */
-    public fun affinity(grant: ForwardingGrant, prompt: PromptDescription, weights: Long?, now: MonotonicTime): Long? {
+    public fun affinity(
+        configuration: ForwardingConfiguration,
+        grant: ForwardingGrant,
+        prompt: PromptDescription,
+        weights: Long?,
+        now: MonotonicTime,
+    ): Long? {
         val rootPiece = prompt.rootPiece
         if (weights == null || rootPiece == null) return prompt.affinity
-        val save = saved[CachedPrefix(scope(grant, prompt, weights), rootPiece)]
+        val save = saved[CachedPrefix(scope(configuration, grant, prompt, weights), rootPiece)]
         return if (save != null && save.availableAt <= now && now < save.expiresAt) prompt.affinity else rootPiece
     }
 
-    private fun scope(grant: ForwardingGrant, prompt: PromptDescription, weights: Long): String {
-        val isolation = grant.workspace?.takeIf { it.isIsolated }?.name?.text.orEmpty()
-        return "${prompt.model.text}@$weights/$isolation"
+    /**
+     * Returns the scope by [configuration], the newest one: a request may have waited since the configuration of its [grant]. A workspace
+     * that was removed meanwhile shares nothing.
+     */
+    private fun scope(configuration: ForwardingConfiguration, grant: ForwardingGrant, prompt: PromptDescription, weights: Long): String {
+        val workspace = grant.workspace?.name
+        val isShared = workspace == null || configuration.workspaces[workspace]?.isIsolated == false
+        val base = "${prompt.model.text}@$weights"
+        return if (isShared) "$base${configuration.isolationMark}/" else "$base/${workspace?.text}"
     }
 
     /** Returns the addresses of the cache stores in [configuration]. */
@@ -153,7 +172,7 @@
         now: MonotonicTime,
     ): CachePlan? {
         val weights = target.probableWeights(prompt.model, now) ?: return null
-        val scope = scope(grant, prompt, weights)
+        val scope = scope(configuration, grant, prompt, weights)
         val store = selectStore(configuration, prompt, now)
         val saves = store != null && startSave(scope, prompt, now)
         prompt.rootPiece?.let { recordRootUse(CachedPrefix(scope, it), now) }
--- a/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/forwarding/ForwardingConfiguration.kt
@@ -4,6 +4,7 @@
  */
 package org.cactuspulley.core.forwarding
 
+import com.dynatrace.hash4j.hashing.Hashing
 import org.cactuspulley.core.model.ModelName
 import org.cactuspulley.core.model.PoolName
 import org.cactuspulley.core.model.RouteName
@@ -28,6 +29,13 @@
     private val workspacesByKey: Map<String, WorkspaceDescription> =
         workspaces.values.flatMap { workspace -> workspace.keys.map { it to workspace } }.toMap()
 
+    /**
+     * Distinguishes the cached pieces that workspaces share under this configuration from those that any of its isolated workspaces may
+     * have made while it shared them. It depends only on the names of the isolated workspaces, so that it follows from any configuration
+     * alone and other changes leave the pieces in use; empty if no workspace is isolated.
+     */
+    internal val isolationMark: String = isolationMark(workspaces.values.filter { it.isIsolated }.map { it.name.text })
+
     /** Whether callers need an API key on routes that are not anonymous. */
     public val requiresKeys: Boolean get() = workspaces.isNotEmpty()
 
@@ -36,6 +44,17 @@
 
     /** Returns the workspace that [key] belongs to, or null if the key is unknown. */
     public fun workspaceOf(key: String): WorkspaceDescription? = workspacesByKey[key]
+
+    private companion object {
+        const val HEXADECIMAL = 16
+
+        fun isolationMark(isolated: List<String>): String {
+            if (isolated.isEmpty()) return ""
+            val stream = Hashing.xxh3_64().hashStream()
+            isolated.sorted().forEach(stream::putString)
+            return "-${stream.asLong.toULong().toString(HEXADECIMAL)}"
+        }
+    }
 }
 
 /** How a request may be repeated after a send attempt whose outcome is unknown. */
--- a/core/src/test/kotlin/org/cactuspulley/core/forwarding/CachePlanSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/forwarding/CachePlanSpec.kt
@@ -54,7 +54,7 @@
             val peer = CachePlanner()
             val description = prompt()
 
-            fun CachePlanner.at(now: MonotonicTime, weights: Long = 4) = affinity(grant(), description, weights, now)
+            fun CachePlanner.at(now: MonotonicTime, weights: Long = 4) = affinity(configuration(), grant(), description, weights, now)
             planner.at(START) shouldBe description.rootPiece
             planner.plan(configuration(store = "10.9.9.9:1"), grant(), description, target, START)
             planner.hasUrgentNotices shouldBe true
@@ -77,7 +77,10 @@
             planner.recordPrefill(plan, prompt(), START + 150.milliseconds)
             planner.hasUrgentNotices shouldBe true
             planner.drainSaveNotices(START + 200.milliseconds).forEach { peer.recordPeerSave(it, START + 200.milliseconds) }
-            listOf(planner, peer).forEach { it.affinity(grant(), prompt(), 1, START + 200.milliseconds) shouldBe prompt().affinity }
+            listOf(planner, peer).forEach {
+                it.affinity(configuration(), grant(), prompt(), 1, START + 200.milliseconds) shouldBe
+                    prompt().affinity
+            }
         }
 
         it("counts the tokens of a prompt that need no prefill") {
@@ -86,7 +89,7 @@
             val description = prompt(subject = 1)
 
             fun reusableTokens(prompt: PromptDescription, weights: Long = 1) =
-                planner.reusableTokens(grant(), prompt, weights, START + 100.milliseconds)
+                planner.reusableTokens(configuration(), grant(), prompt, weights, START + 100.milliseconds)
             reusableTokens(description) shouldBe 0
             planner.plan(configuration(store = "10.9.9.9:1"), grant(), description, target, START)
             reusableTokens(description) shouldBe description.sharedTokens
@@ -95,7 +98,7 @@
         }
 
         it("uses the last shared piece as affinity if the weights version is unknown") {
-            CachePlanner().affinity(grant(), prompt(), null, START) shouldBe prompt().affinity
+            CachePlanner().affinity(configuration(), grant(), prompt(), null, START) shouldBe prompt().affinity
         }
 
         it("uses one store for all prompts with the same root piece on all targets") {
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -153,13 +153,13 @@
         val newest = model?.let { state.desiredWeights.newest(it) }
         val preferred = state.selector.preferredWeights(grant.pool, newest, now)
         val affinityWeights = if (newest == null) FIRST_WEIGHTS_VERSION else preferred
-        val affinity = request.prompt?.let { state.cache.affinity(grant, it, affinityWeights, now) }
+        val affinity = request.prompt?.let { state.cacheAffinity(grant, it, affinityWeights, now) }
         val terms = if (state.usesExpectedStarts) requestTerms(preferred, now) else null
         return SelectionCriteria(grant, request.prompt, progress.excluded, minimum, preferred, affinity, terms = terms)
     }
 
     private fun requestTerms(weights: Long?, now: MonotonicTime): RequestTerms {
-        val reusableTokens = request.prompt?.let { state.cache.reusableTokens(grant, it, weights ?: FIRST_WEIGHTS_VERSION, now) } ?: 0
+        val reusableTokens = request.prompt?.let { state.reusableTokens(grant, it, weights ?: FIRST_WEIGHTS_VERSION, now) } ?: 0
         return RequestTerms(
             objectiveAt = arrivedAt + grant.route.latencyObjective,
             latestStart = progress.latestStart(now),
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardingState.kt
@@ -6,6 +6,8 @@
 import org.cactuspulley.core.forwarding.FleetMember
 import org.cactuspulley.core.forwarding.FleetView
 import org.cactuspulley.core.forwarding.ForwardingConfiguration
+import org.cactuspulley.core.forwarding.ForwardingGrant
+import org.cactuspulley.core.forwarding.PromptDescription
 import org.cactuspulley.core.forwarding.ReplicatedTokenBucket
 import org.cactuspulley.core.forwarding.RequestAuthorizer
 import org.cactuspulley.core.forwarding.ReturnSchedule
@@ -90,6 +92,14 @@
     /** The cached pieces of prompts and the cache stores that hold them. */
     val cache = CachePlanner()
 
+    /** Returns the affinity by which to select a target for [prompt] on [weights]; see [CachePlanner.affinity]. */
+    fun cacheAffinity(grant: ForwardingGrant, prompt: PromptDescription, weights: Long?, now: MonotonicTime): Long? =
+        authorizer.configuration?.let { cache.affinity(it, grant, prompt, weights, now) } ?: prompt.affinity
+
+    /** Returns how many tokens of [prompt] need no prefill on [weights]; see [CachePlanner.reusableTokens]. */
+    fun reusableTokens(grant: ForwardingGrant, prompt: PromptDescription, weights: Long?, now: MonotonicTime): Int =
+        authorizer.configuration?.let { cache.reusableTokens(it, grant, prompt, weights, now) } ?: 0
+
     /** The desired versions of the models' weights. */
     val desiredWeights = DesiredWeightsTracker()
 
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -142,7 +142,7 @@
     /** The load that this attempt adds to its target, in the units of [TargetLoad]. */
     var units = TargetLoad.unitsUntilFirstEvent(
         request.prompt,
-        request.prompt?.let { state.cache.reusableTokens(grant, it, target.probableWeights(it.model, startedAt), startedAt) } ?: 0,
+        request.prompt?.let { state.reusableTokens(grant, it, target.probableWeights(it.model, startedAt), startedAt) } ?: 0,
     )
         private set
 
