Hold plain requests that crash targets back as well

Callers saw: a GET that crashed each target that ran it reached targets again each time that it came, and requests of others that these targets had taken were lost.

Cause: crashes were reported for requests with a prompt only.

Change: the quarantine hears of the broken connections and the complete answers of all requests. A request that was sent after the last known crash of its target ran on a later start of it. A plain request under way is not withdrawn, and a target that is leaving and ends has not crashed.

--- a/core/src/main/kotlin/org/cactuspulley/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/quarantine/CrashQuarantine.kt
@@ -49,6 +49,13 @@
         entries.computeIfPresent(traits) { _, entry -> entry.copy(keptUntil = maxOf(entry.keptUntil, now + RETENTION)) }
     }
 
+    /**
+     * Returns the start of a target to which a request was sent at [sentAt], when the registry listed [listed]: the target has started
+     * again after each crash that was known before.
+     */
+    public fun startAt(listed: TargetStart, sentAt: MonotonicTime): TargetStart =
+        generateSequence(listed) { it.copy(restarts = it.restarts + 1) }.first { start -> crashes[start]?.let { it.at >= sentAt } ?: true }
+
     /**
      * Records that [target] crashed at [at] while it ran requests with [traits]; reports of the same crash add up. The traits that come
      * first are kept if there are too many.
--- a/core/src/main/kotlin/org/cactuspulley/core/quarantine/RequestTrait.kt
+++ b/core/src/main/kotlin/org/cactuspulley/core/quarantine/RequestTrait.kt
@@ -25,9 +25,10 @@
  * One start of a target, so that several reports of its crash are recognized as the same crash.
  *
  * @property target the id of the target.
- * @property startedAtMillis the wall-clock time of the target's start in Unix milliseconds.
+ * @property startedAtMillis the wall-clock time of the newest start that the registry lists, in Unix milliseconds.
+ * @property restarts the number of starts since that one which the registry does not list yet.
  */
-public data class TargetStart(val target: TargetId, val startedAtMillis: Long)
+public data class TargetStart(val target: TargetId, val startedAtMillis: Long, val restarts: Int = 0)
 
 /**
  * The quarantine of the requests that have all of certain traits.
--- a/core/src/test/kotlin/org/cactuspulley/core/quarantine/CrashQuarantineSpec.kt
+++ b/core/src/test/kotlin/org/cactuspulley/core/quarantine/CrashQuarantineSpec.kt
@@ -160,6 +160,19 @@
             quarantine.held(START + 5.seconds) shouldBe listOf(request(1), request(2))
         }
 
+        // Guards against taking the crashes of a target that comes back before the registry lists its start for one crash.
+        it("is held back although the registry does not list the starts of the targets yet") {
+            val quarantine = CrashQuarantine()
+            for (second in 0..4 step 2) {
+                val at = START + second.seconds
+                val start = quarantine.startAt(target(1), sentAt = at - 5.milliseconds)
+                start.restarts shouldBe second / 2
+                quarantine.recordCrash(start, request(1), at, at)
+                quarantine.startAt(target(1), sentAt = at - 100.milliseconds) shouldBe start
+            }
+            quarantine.held(START + 5.seconds) shouldBe listOf(request(1))
+        }
+
         it("is told apart from requests with another query unless the query differs each time") {
             val query = setOf<RequestTrait>(RequestTrait.WholeRequest(11))
             val sameQuery = CrashQuarantine()
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashNotices.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashNotices.kt
@@ -28,13 +28,20 @@
  * Reports the crash of a target while it ran requests with [traits].
  *
  * @property target the id of the target.
- * @property startedAtMillis the wall-clock time of the target's start in Unix milliseconds.
+ * @property startedAtMillis the wall-clock time of the newest start that the registry lists, in Unix milliseconds.
+ * @property restarts the number of starts since that one which the registry did not list yet.
  * @property ageMillis the time since the crash, in milliseconds at the send of the notice.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @CborArray
-internal data class TargetCrashNotice(val target: String, val startedAtMillis: Long, val traits: EncodedTraits, val ageMillis: Long)
+internal data class TargetCrashNotice(
+    val target: String,
+    val startedAtMillis: Long,
+    val restarts: Int,
+    val traits: EncodedTraits,
+    val ageMillis: Long,
+)
 
 /** Reports that a request with [traits] was served [ageMillis] milliseconds before the send of the notice. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchange.kt
@@ -104,11 +104,12 @@
 
     /**
      * Records that [target] broke the connection of an attempt with [traits], which was sent at [sentAt]. The target crashed if it accepts
-     * no new connection; otherwise only the connection broke.
+     * no new connection; otherwise only the connection broke. A target that is leaving ends in the same way at the end of its time.
      */
     fun connectionBroke(target: Target, address: HostAndPort, traits: Set<RequestTrait>, sentAt: MonotonicTime) {
+        if (target.isLeaving) return
         val now = context.clock.now()
-        val start = TargetStart(target.id, target.entry.startedAtMillis)
+        val start = quarantine.startAt(TargetStart(target.id, target.entry.startedAtMillis), sentAt)
         val isProbed = start in probed
         probed.getOrPut(start, ::mutableListOf) += BrokenAttempt(traits, sentAt)
         if (isProbed) return
@@ -135,13 +136,10 @@
         while (crashes.isNotEmpty() && now - crashes.first().recordedAt > REPEAT_TIME) crashes.removeFirst()
         while (served.isNotEmpty() && now - served.first().recordedAt > REPEAT_TIME) served.removeFirst()
         return CrashNotices(
-            crashes.map {
-                TargetCrashNotice(
-                    it.target.target.text,
-                    it.target.startedAtMillis,
-                    EncodedTraits.of(it.traits),
-                    (now - it.at).inWholeMilliseconds,
-                )
+            crashes.map { crash ->
+                val (target, startedAtMillis, restarts) = crash.target
+                val age = (now - crash.at).inWholeMilliseconds
+                TargetCrashNotice(target.text, startedAtMillis, restarts, EncodedTraits.of(crash.traits), age)
             },
             served.map { ServedNotice(EncodedTraits.of(setOf(it.trait)), (now - it.at).inWholeMilliseconds) },
             reportedEntries(now, isComplete).map {
@@ -169,7 +167,7 @@
             apply(quarantine.recordServed(notice.traits.decode(), at - notice.ageMillis.milliseconds, now), peer)
         }
         for (notice in notices.crashes) {
-            val start = TargetStart(TargetId(notice.target), notice.startedAtMillis)
+            val start = TargetStart(TargetId(notice.target), notice.startedAtMillis, notice.restarts)
             apply(quarantine.recordCrash(start, notice.traits.decode(), at - notice.ageMillis.milliseconds, now), peer)
         }
         for (notice in notices.quarantines) adopt(peer, notice, at, now)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/ForwardedExchange.kt
@@ -271,6 +271,8 @@
     fun withdrawIfQuarantined(): Boolean {
         val outstanding = currentAttempt
         if (ended || outstanding?.hasEvents == true) return false
+        // A plain request may have taken effect, and its outcome shows whether the quarantine is right.
+        if (request.prompt == null && outstanding?.isWritten == true) return false
         val quarantined = when (val verdict = context.quarantine.verdict(traits, context.clock.now())) {
             CrashVerdict.Clear -> return false
             is CrashVerdict.OnTrial -> if (outstanding != null || isFirstSendOfTrial) return false else verdict.traits
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/SendAttempt.kt
@@ -524,16 +524,13 @@
         observer.failed(this, SendFailure.BROKEN, reason)
     }
 
-    private fun recordServed(sound: Collection<RequestTrait>) {
-        if (request.prompt != null) context.quarantine.served(sound, context.clock.now())
-    }
+    private fun recordServed(sound: Collection<RequestTrait>) = context.quarantine.served(sound, context.clock.now())
 
     /**
      * Reports a target that broke the connection, as one that crashes does. The pieces of a prompt can be the cause only between the
      * beginning of the answer and its first event, as the target does not read them before or after that.
      */
     private fun reportBrokenConnection() {
-        if (request.prompt == null) return
         val address = HostAndPort.parse(target.entry.address) ?: return
         val wasReadingPieces = if (grant.route.isStream) hasResponse && !hasEvents else !hasResponse
         val suspects = if (wasReadingPieces) traits else traits.filterNotTo(LinkedHashSet()) { it is RequestTrait.Piece }
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchangeSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchangeSpec.kt
@@ -22,8 +22,8 @@
 private fun encoded(traits: Set<RequestTrait>) = EncodedTraits.of(traits)
 
 /** The notices of three targets that crashed on a request with [traits], a second apart. */
-private fun threeCrashes(traits: Set<RequestTrait>, from: Long = 1) = CrashNotices(
-    crashes = (1L..3L).map { TargetCrashNotice("t-${traits.hashCode()}-$it", from, encoded(traits), it * 1_000) },
+private fun threeCrashes(traits: Set<RequestTrait>) = CrashNotices(
+    crashes = (1L..3L).map { TargetCrashNotice("t-${traits.hashCode()}-$it", 1, 0, encoded(traits), it * 1_000) },
     served = emptyList(),
     quarantines = emptyList(),
 )
