Ignore a quarantine that no instance can have reported

A datagram with damaged bytes may be decoded to a quarantine without convictions, after which each decision about a request would fail, or to one that never ends. CrashQuarantineExchangeSpec sends both; found by reading, no caller has seen it.

--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashNotices.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashNotices.kt
@@ -64,7 +64,16 @@
     val crashAgeMillis: Long,
     val convictions: Int,
     val remainingMillis: Long,
-)
+) {
+    /** Whether an instance can have sent the notice; damaged bytes may be decoded to one that would hold for ever. */
+    val isPlausible: Boolean
+        get() = convictions >= 1 && crashAgeMillis >= 0 && remainingMillis in 0..MAX_REMAINING_MILLIS
+
+    private companion object {
+        /** More than the longest hold, of a day, and the time for which a quarantine is kept after that. */
+        const val MAX_REMAINING_MILLIS = 2L * 24 * 60 * 60 * 1_000
+    }
+}
 
 /** The hashes of traits by their kinds: [pieces] of prompts, [paths] with bodies, and [queries] with both. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchange.kt
+++ b/runtime/src/main/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchange.kt
@@ -170,7 +170,7 @@
             val start = TargetStart(TargetId(notice.target), notice.startedAtMillis, notice.restarts)
             apply(quarantine.recordCrash(start, notice.traits.decode(), at - notice.ageMillis.milliseconds, now), peer)
         }
-        for (notice in notices.quarantines) adopt(peer, notice, at, now)
+        for (notice in notices.quarantines.filter { it.isPlausible }) adopt(peer, notice, at, now)
     }
 
     private fun adopt(peer: InstanceId, notice: QuarantineNotice, at: MonotonicTime, now: MonotonicTime) {
--- a/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchangeSpec.kt
+++ b/runtime/src/test/kotlin/org/cactuspulley/runtime/forwarding/CrashQuarantineExchangeSpec.kt
@@ -116,6 +116,18 @@
         }
     }
 
+    describe("a quarantine that no instance can have reported") {
+        // Guards against damaged bytes that make every later decision fail, or hold requests back for ever.
+        it("is ignored") {
+            simulate(2) {
+                val notices =
+                    listOf(QuarantineNotice(encoded(request(1)), 1, 0, 1_000), QuarantineNotice(encoded(request(1)), 1, 1, Long.MAX_VALUE))
+                instances.first().quarantine.receive(OBSERVER, CrashNotices(emptyList(), emptyList(), notices), now)
+                instances.first().quarantine.verdict(request(1), now) shouldBe CrashVerdict.Clear
+            }
+        }
+    }
+
     describe("a digest with many quarantines") {
         fun ExchangeSimulation.encodedBytes(isComplete: Boolean): Int {
             val notices = instances.first().quarantine.notices(now, isComplete)
